Walk the core over seeded orders of events; keep each answer's hits apart

Cause: the first walk (seed 2) crashed: two queries answered in one step shared one buffer of merged hits, so the first answer pointed at freed memory and could have shown another request's hits.

Ruled out: the test's own bookkeeping; it reads hits before the next step.

Change: merged hits and names of missing groups belong to their query. The walk plays callers, connections, servers, platform, pauses and old revisions to one core and checks the must-holds after each step.

--- a/core/core.c
+++ b/core/core.c
@@ -145,6 +145,8 @@
 	for (i = 0; i < q->nshards; i++)
 		shard_drop(c, &q->shards[i]);
 	free(q->shards);
+	free(q->merged);
+	free(q->missing);
 	idmap_del(&c->queries, q->id);
 	view_unref(c, q->view);
 	str_free(q->route);
@@ -209,8 +211,6 @@
 	acts_free(acts);
 	free(acts);
 	free(c->timers);
-	free(c->merged);
-	free(c->missing);
 	free(c->over);
 	free(c->old_views);
 	str_free(c->name);
--- a/core/libcore.h
+++ b/core/libcore.h
@@ -158,6 +158,8 @@
 	bool withdrawn; /* unsent attempts were called back */
 	bool over;	/* answered; freed when the next step begins */
 	shard_t *shards;
+	hit_t *merged; /* of the answer, as long as the query is there */
+	str_t *missing;
 } query_t;
 
 typedef struct attempt {
@@ -240,8 +242,6 @@
 	bool stopping;
 	uint64_t counters[CNT_MAX];
 	acts_t *acts;  /* of the present step */
-	hit_t *merged; /* of the last answer */
-	str_t *missing;
 	query_t **over; /* answered; freed when the next step begins */
 	size_t nover;
 	size_t over_room;
@@ -345,6 +345,6 @@
 void query_timer(core_t *c, const timer_entry_t *t, usec_t now);
 
 /* merge.c */
-size_t merge_parts(core_t *c, query_t *q);
+size_t merge_parts(query_t *q);
 
 #endif
--- a/core/merge.c
+++ b/core/merge.c
@@ -31,7 +31,7 @@
 		qsort(p->hits, p->nhits, sizeof(*p->hits), cmp_hit);
 }
 
-size_t merge_parts(core_t *c, query_t *q)
+size_t merge_parts(query_t *q)
 {
 	const part_t *p;
 	size_t n = 0, i, j;
@@ -39,16 +39,15 @@
 	for (i = 0; i < q->nshards; i++)
 		if (q->shards[i].part)
 			n += q->shards[i].part->nhits;
-	free(c->merged);
-	c->merged = xcalloc(n, sizeof(*c->merged));
+	q->merged = xcalloc(n, sizeof(*q->merged));
 	n = 0;
 	for (i = 0; i < q->nshards; i++) {
 		p = q->shards[i].part;
 		/* No more of one part than are asked for in all. */
 		for (j = 0; p && j < p->nhits && j < q->limit; j++)
-			c->merged[n++] = p->hits[j];
+			q->merged[n++] = p->hits[j];
 	}
 	if (n)
-		qsort(c->merged, n, sizeof(*c->merged), cmp_hit);
+		qsort(q->merged, n, sizeof(*q->merged), cmp_hit);
 	return n < q->limit ? n : q->limit;
 }
--- a/core/query.c
+++ b/core/query.c
@@ -197,16 +197,15 @@
 	return q->ran || q->nout ? OUT_UNKNOWN : OUT_NOT_RUN;
 }
 
-static void fill_missing(core_t *c, const query_t *q, answer_t *a)
+static void fill_missing(query_t *q, answer_t *a)
 {
 	size_t n = 0, i;
 
-	free(c->missing);
-	c->missing = xcalloc(q->nshards, sizeof(*c->missing));
+	q->missing = xcalloc(q->nshards, sizeof(*q->missing));
 	for (i = 0; i < q->nshards; i++)
 		if (q->shards[i].state != SH_DONE)
-			c->missing[n++] = q->shards[i].group->name;
-	a->missing = c->missing;
+			q->missing[n++] = q->shards[i].group->name;
+	a->missing = q->missing;
 }
 
 /* The reason of the first failed shard, if there is none better. */
@@ -245,10 +244,10 @@
 	a->sent = q->sent;
 	a->restarts = q->epoch;
 	a->took = now - q->arrived;
-	fill_missing(c, q, a);
+	fill_missing(q, a);
 	if (out == OUT_COMPLETE || out == OUT_PARTIAL) {
-		a->nhits = merge_parts(c, q);
-		a->hits = c->merged;
+		a->nhits = merge_parts(q);
+		a->hits = q->merged;
 	}
 	act_log(c, &(decision_line_t){ .what = DEC_ANSWER,
 				       .why = a->why,
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -6,5 +6,6 @@
 void unit_base(void);
 void unit_conf(void);
 void unit_core(void);
+void unit_walk(void);
 
 #endif
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -12,6 +12,7 @@
 	unit_base();
 	unit_conf();
 	unit_core();
+	unit_walk();
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
--- /dev/null
+++ b/tests/unit_walk.c
@@ -0,0 +1,562 @@
+/**
+ * @file unit_walk.c
+ * Seeded walks over orders of events. A walk plays callers, connections and
+ * servers to one core with a made-up clock, and after each step checks what
+ * must always hold.
+ */
+#include <CUnit/CUnit.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core.h"
+#include "unit.h"
+
+#define SEEDS 2000
+#define STEPS 400
+#define GROUPS 3
+#define REPLICAS 3
+#define SERVERS (GROUPS * REPLICAS)
+#define MAX_CALLS (STEPS + 1)
+#define MAX_ATTEMPTS 4096
+#define CONNECTIONS 9
+#define DAEMONS 3
+#define CAP (CONNECTIONS / DAEMONS)
+#define LEASE (3 * USEC_PER_SEC)
+
+/* A request as its caller knows it. */
+typedef struct caller {
+	bool idempotent;
+	unsigned answers;
+	unsigned runs;
+	outcome_t outcome;
+} caller_t;
+
+/* An attempt as connection and server know it. */
+typedef struct att {
+	uint64_t aid;
+	unsigned server;
+	unsigned group;
+	caller_t *caller;
+	uint64_t snapshot;
+	usec_t send_by;
+	bool sent; /* past the last look */
+	bool over;
+	result_t result;
+} att_t;
+
+typedef struct walk {
+	uint64_t seed;
+	rng_t rng;
+	usec_t now;
+	core_t *core;
+	acts_t acts;
+	caller_t calls[MAX_CALLS];
+	unsigned ncalls;
+	att_t atts[MAX_ATTEMPTS];
+	unsigned natts;
+	unsigned inflight[SERVERS];
+	bool leaving[SERVERS]; /* as published */
+	usec_t leaving_at[SERVERS];
+	bool read[SERVERS]; /* a read of the list told of its leaving */
+	uint64_t oldest; /* snapshots held: oldest and the next one */
+	uint64_t list_version;
+	bool platform_up;
+	usec_t list_read_at;
+	unsigned faults;
+} walk_t;
+
+static void fault(walk_t *w, const char *what)
+{
+	if (w->faults++ == 0)
+		fprintf(stderr, "  walk seed %llu at %lld: %s\n",
+			(unsigned long long)w->seed, (long long)w->now, what);
+}
+
+static char *conf_for_walk(uint64_t revision, unsigned map)
+{
+	conf_builder_t *b = conf_new(revision, DAEMONS);
+	char *text = NULL;
+	size_t sz = 0;
+	FILE *out = open_memstream(&text, &sz);
+	char name[8];
+	unsigned i, j;
+
+	conf_add_dc(b, "a", "r");
+	conf_add_service(b, "s", 3, CONNECTIONS);
+	conf_set_map(b, map);
+	for (i = 0; i < GROUPS; i++) {
+		snprintf(name, sizeof(name), "g%u", i);
+		conf_add_group(b, name);
+		for (j = 0; j < REPLICAS; j++)
+			conf_add_server(b, "a", "127.0.0.1",
+					1 + i * REPLICAS + j);
+	}
+	conf_add_class(b, &(conf_class_spec_t){ .name = "urgent",
+						.kind = CONF_URGENT,
+						.idempotent = true,
+						.deadline_ms = 200,
+						.soft_ms = 50,
+						.min_coverage = 0.5 });
+	conf_add_class(b, &(conf_class_spec_t){ .name = "broad",
+						.kind = CONF_BROAD,
+						.idempotent = true,
+						.deadline_ms = 1000,
+						.min_coverage = 0.3 });
+	conf_add_class(b, &(conf_class_spec_t){ .name = "once",
+						.kind = CONF_URGENT,
+						.scope = CONF_ONE,
+						.deadline_ms = 300,
+						.min_coverage = 1 });
+	conf_emit(b, out, stderr);
+	fclose(out);
+	return text;
+}
+
+static void step(walk_t *w, event_t *ev);
+
+static unsigned server_of(str_t addr)
+{
+	char host[ADDR_HOST_MAX];
+	unsigned port = 1;
+
+	addr_split(addr, host, &port);
+	return port - 1;
+}
+
+static void on_send(walk_t *w, const act_t *a)
+{
+	att_t *t = &w->atts[w->natts++];
+
+	if (w->natts == MAX_ATTEMPTS) {
+		w->natts--;
+		fault(w, "too many attempts");
+		return;
+	}
+	*t = (att_t){ .aid = a->send.aid,
+		      .server = server_of(a->send.addr),
+		      .caller = a->send.body,
+		      .snapshot = a->send.snapshot,
+		      .send_by = a->send.send_by };
+	t->group = t->server / REPLICAS;
+	if (++w->inflight[t->server] > CAP)
+		fault(w, "more in flight than connections");
+}
+
+static att_t *find(walk_t *w, uint64_t aid)
+{
+	unsigned i;
+
+	for (i = 0; i < w->natts; i++)
+		if (w->atts[i].aid == aid && !w->atts[i].over)
+			return &w->atts[i];
+	return NULL;
+}
+
+static void withdraw(walk_t *w, uint64_t aid)
+{
+	event_t ev = { .kind = EV_WITHDRAWN };
+	att_t *t = find(w, aid);
+
+	ev.withdrawn.aid = aid;
+	ev.withdrawn.ok = t && !t->sent;
+	if (ev.withdrawn.ok) {
+		t->over = true;
+		w->inflight[t->server]--;
+	}
+	step(w, &ev);
+}
+
+static void check_hits(walk_t *w, const answer_t *a)
+{
+	bool seen[GROUPS] = { false };
+	unsigned n = 0, g;
+	size_t i;
+
+	for (i = 0; i < a->nhits; i++) {
+		if ((uint64_t)a->hits[i].score != a->snapshot)
+			fault(w, "a hit of another snapshot");
+		if (a->hits[i].text.s != (char *)a->caller)
+			fault(w, "a hit of another request");
+		g = (unsigned)(a->hits[i].id.s[0] - '0');
+		n += !seen[g];
+		seen[g] = true;
+	}
+	if (n != a->answered)
+		fault(w, "coverage is not that of the hits");
+}
+
+static void on_answer(walk_t *w, const answer_t *a)
+{
+	caller_t *c = a->caller;
+
+	c->answers++;
+	c->outcome = a->outcome;
+	if (c->answers > 1)
+		fault(w, "answered twice");
+	if (a->outcome == OUT_NOT_RUN && c->runs)
+		fault(w, "told not run, but it ran");
+	if (a->outcome == OUT_COMPLETE || a->outcome == OUT_PARTIAL)
+		check_hits(w, a);
+	if (a->outcome == OUT_COMPLETE && a->answered != a->total)
+		fault(w, "complete without every group");
+}
+
+static void step(walk_t *w, event_t *ev)
+{
+	acts_t acts = { 0 };
+	size_t i;
+
+	core_step(w->core, ev, w->now, &acts);
+	/* Answers first: their hits last until the next step only. */
+	for (i = 0; i < acts.n; i++) {
+		act_t *a = &acts.v[i];
+
+		if (a->kind == ACT_SEND)
+			on_send(w, a);
+		else if (a->kind == ACT_ANSWER)
+			on_answer(w, &a->answer);
+		else if (a->kind == ACT_CONF_DROP)
+			conf_free(a->conf);
+	}
+	for (i = 0; i < acts.n; i++)
+		if (acts.v[i].kind == ACT_WITHDRAW ||
+		    acts.v[i].kind == ACT_CANCEL)
+			withdraw(w, acts.v[i].aid);
+	acts_free(&acts);
+}
+
+static void do_request(walk_t *w)
+{
+	static const char *const classes[] = { "urgent", "broad", "once" };
+	event_t ev = { .kind = EV_REQUEST };
+	unsigned k = (unsigned)rng_below(&w->rng, 3);
+	caller_t *c = &w->calls[w->ncalls++];
+
+	c->idempotent = k != 2;
+	ev.request.service = STR("s");
+	ev.request.class_name = str_of(classes[k]);
+	ev.request.route = STR("r");
+	ev.request.body = c;
+	ev.request.caller = c;
+	step(w, &ev);
+}
+
+/* The connection's last look, then the server runs it or refuses. */
+static void do_send(walk_t *w, att_t *t)
+{
+	t->sent = true;
+	if (w->leaving[t->server] && w->platform_up &&
+	    w->now > w->leaving_at[t->server] + LEASE)
+		fault(w, "new work for a server that is leaving");
+	if (t->snapshot != w->oldest && t->snapshot != w->oldest + 1) {
+		t->result = RES_MISS;
+		return;
+	}
+	switch (rng_below(&w->rng, 12)) {
+	case 0:
+		t->result = RES_SHED;
+		return;
+	case 1:
+		t->result = RES_LOST;
+		break;
+	case 2:
+		t->result = RES_CROSSED;
+		break;
+	case 3:
+		t->result = RES_ERROR;
+		break;
+	default:
+		t->result = RES_OK;
+		break;
+	}
+	t->caller->runs++;
+	if (!t->caller->idempotent && t->caller->runs > 1)
+		fault(w, "a non-idempotent request ran twice");
+	if (t->caller->answers && t->caller->outcome == OUT_NOT_RUN)
+		fault(w, "ran after its caller was told not run");
+}
+
+static part_t *part_for(const att_t *t)
+{
+	part_t *p = part_new();
+
+	p->hits = arena_alloc(&p->mem, sizeof(*p->hits));
+	p->nhits = 1;
+	p->hits[0].score = (double)t->snapshot;
+	p->hits[0].id.s = arena_alloc(&p->mem, 2);
+	((char *)p->hits[0].id.s)[0] = (char)('0' + t->group);
+	p->hits[0].id.sz = 1;
+	p->hits[0].text = (str_t){ (char *)t->caller, 0 };
+	return p;
+}
+
+static void do_reply(walk_t *w, att_t *t)
+{
+	event_t ev = { .kind = EV_ATTEMPT };
+
+	t->over = true;
+	w->inflight[t->server]--;
+	ev.attempt.aid = t->aid;
+	ev.attempt.result = t->result;
+	if (t->result == RES_OK)
+		ev.attempt.part = part_for(t);
+	if (t->result != RES_LOST && t->result != RES_NOT_SENT) {
+		ev.attempt.evidence.valid = true;
+		ev.attempt.evidence.slots = 3;
+		ev.attempt.evidence.nheld = 2;
+		ev.attempt.evidence.held[0] = (holding_t){ 1, w->oldest };
+		ev.attempt.evidence.held[1] = (holding_t){ 1, w->oldest + 1 };
+	}
+	step(w, &ev);
+}
+
+/* Moves a random attempt on: last look, or the reply. */
+static void do_attempt(walk_t *w)
+{
+	unsigned i, at;
+	att_t *t;
+
+	if (w->natts == 0)
+		return;
+	at = (unsigned)rng_below(&w->rng, w->natts);
+	for (i = 0; i < w->natts; i++) {
+		t = &w->atts[(at + i) % w->natts];
+		if (t->over)
+			continue;
+		if (t->sent) {
+			do_reply(w, t);
+		} else if (w->now > t->send_by) {
+			t->result = RES_NOT_SENT;
+			do_reply(w, t);
+		} else {
+			do_send(w, t);
+		}
+		return;
+	}
+}
+
+static void do_probe(walk_t *w, unsigned server)
+{
+	event_t ev = { .kind = EV_PROBE };
+	char addr[32];
+
+	snprintf(addr, sizeof(addr), "127.0.0.1:%u", server + 1);
+	ev.probe.addr = str_of(addr);
+	ev.probe.ok = rng_below(&w->rng, 8) != 0;
+	ev.probe.evidence.valid = true;
+	ev.probe.evidence.slots = 3;
+	ev.probe.evidence.nheld = 2;
+	ev.probe.evidence.held[0] = (holding_t){ 1, w->oldest };
+	ev.probe.evidence.held[1] = (holding_t){ 1, w->oldest + 1 };
+	/* A leaving server's own word says so. */
+	ev.probe.evidence.draining = w->leaving[server];
+	step(w, &ev);
+}
+
+static void do_list(walk_t *w)
+{
+	host_list_t l = { .version = w->list_version };
+	event_t ev = { .kind = EV_LIST };
+	char addrs[SERVERS][32];
+	str_t leaving[SERVERS];
+	unsigned i;
+
+	if (!w->platform_up) {
+		ev.kind = EV_LIST_FAILED;
+		step(w, &ev);
+		return;
+	}
+	for (i = 0; i < SERVERS; i++) {
+		if (!w->leaving[i])
+			continue;
+		snprintf(addrs[i], sizeof(addrs[i]), "127.0.0.1:%u", i + 1);
+		w->read[i] = true;
+		leaving[l.nleaving++] = str_of(addrs[i]);
+	}
+	l.leaving = leaving;
+	ev.list.list = &l;
+	step(w, &ev);
+}
+
+static void do_leave(walk_t *w)
+{
+	unsigned i = (unsigned)rng_below(&w->rng, SERVERS);
+
+	w->list_version++;
+	w->read[i] = false;
+	if (w->leaving[i]) {
+		w->leaving[i] = false;
+		return;
+	}
+	w->leaving[i] = true;
+	w->leaving_at[i] = w->now;
+}
+
+/* What no read has told before an outage counts from the outage's end. */
+static void do_platform(walk_t *w)
+{
+	unsigned i;
+
+	w->platform_up = !w->platform_up;
+	for (i = 0; w->platform_up && i < SERVERS; i++)
+		if (w->leaving[i] && !w->read[i])
+			w->leaving_at[i] = w->now;
+}
+
+static void do_time(walk_t *w)
+{
+	event_t ev = { .kind = EV_TICK };
+	usec_t passed = (usec_t)rng_below(&w->rng, 20 * USEC_PER_MSEC);
+
+	if (rng_below(&w->rng, 4) == 0)
+		passed *= 15;
+	if (rng_below(&w->rng, 60) == 0) /* the process pauses */
+		passed = (usec_t)rng_below(&w->rng, 10 * USEC_PER_SEC);
+	w->now += passed;
+	/* The list is read often, but not while the process pauses. */
+	if (w->now - w->list_read_at > USEC_PER_SEC / 2) {
+		w->list_read_at = w->now;
+		step(w, &ev);
+		do_list(w);
+		return;
+	}
+	step(w, &ev);
+}
+
+static void do_publish(walk_t *w)
+{
+	event_t ev = { .kind = EV_CONF };
+	static conf_faults_t f;
+	core_report_t before, after;
+	uint64_t rev;
+	char *text;
+
+	core_report(w->core, w->now, &before);
+	/* Sometimes an old revision comes again. */
+	rev = 1 + rng_below(&w->rng, before.revision + 3);
+	text = conf_for_walk(rev, 1);
+	ev.conf = conf_parse(str_of(text), &f);
+	free(text);
+	step(w, &ev);
+	core_report(w->core, w->now, &after);
+	if (after.revision < before.revision)
+		fault(w, "the revision went back");
+}
+
+static void one_step(walk_t *w)
+{
+	switch (rng_below(&w->rng, 40)) {
+	case 0:
+		w->oldest++;
+		break;
+	case 1:
+		do_leave(w);
+		break;
+	case 2:
+		do_publish(w);
+		break;
+	case 3:
+		do_platform(w);
+		break;
+	case 4:
+	case 5:
+		do_probe(w, (unsigned)rng_below(&w->rng, SERVERS));
+		break;
+	case 6:
+	case 7:
+	case 8:
+	case 9:
+	case 10:
+		do_request(w);
+		break;
+	case 11:
+	case 12:
+	case 13:
+	case 14:
+	case 15:
+	case 16:
+		do_time(w);
+		break;
+	default:
+		do_attempt(w);
+		break;
+	}
+}
+
+/* Every attempt ends and time goes on: every caller has one answer. */
+static void finish(walk_t *w)
+{
+	event_t ev = { .kind = EV_TICK };
+	core_report_t r;
+	unsigned i, j;
+
+	for (i = 0; i < 200; i++) {
+		w->now += 50 * USEC_PER_MSEC;
+		step(w, &ev);
+		for (j = 0; j < w->natts; j++)
+			if (!w->atts[j].over && w->atts[j].sent)
+				do_reply(w, &w->atts[j]);
+			else if (!w->atts[j].over)
+				do_attempt(w);
+	}
+	for (i = 0; i < w->ncalls; i++)
+		if (w->calls[i].answers != 1)
+			fault(w, "a caller without an answer");
+	core_report(w->core, w->now, &r);
+	if (r.open_queries)
+		fault(w, "queries are left");
+}
+
+static unsigned run_walk(uint64_t seed)
+{
+	static walk_t w;
+	core_params_t p;
+	unsigned i;
+
+	memset(&w, 0, sizeof(w));
+	w.seed = seed;
+	w.rng.state = seed;
+	w.now = 10 * USEC_PER_SEC;
+	w.oldest = 1;
+	w.platform_up = true;
+	w.list_version = 1;
+	core_params_init(&p);
+	p.name = STR("d");
+	p.dc = STR("a");
+	p.seed = seed;
+	p.policy = (policy_t)(seed % POLICY_MAX);
+	w.core = core_new(&p, w.now);
+	do_publish(&w);
+	do_list(&w);
+	for (i = 0; i < SERVERS; i++)
+		do_probe(&w, i);
+	for (i = 0; i < STEPS && !w.faults; i++)
+		one_step(&w);
+	if (!w.faults)
+		finish(&w);
+	core_free(w.core);
+	return w.faults;
+}
+
+static void test_walks(void)
+{
+	const char *one = getenv("WALK_SEED");
+	unsigned bad = 0;
+	uint64_t seed;
+
+	if (one) {
+		CU_ASSERT_EQUAL(run_walk(strtoull(one, NULL, 10)), 0);
+		return;
+	}
+	for (seed = 1; seed <= SEEDS && bad < 5; seed++)
+		bad += run_walk(seed) != 0;
+	CU_ASSERT_EQUAL(bad, 0);
+}
+
+void unit_walk(void)
+{
+	CU_pSuite s = CU_add_suite("walk", NULL, NULL);
+
+	CU_add_test(s, "seeded walks", test_walks);
+}
