--- a/core/libcore.h
+++ b/core/libcore.h
@@ -241,7 +241,7 @@
 	usec_t last_step;
 	bool stopping;
 	uint64_t counters[CNT_MAX];
-	acts_t *acts;  /* of the present step */
+	acts_t *acts;	/* of the present step */
 	query_t **over; /* answered; freed when the next step begins */
 	size_t nover;
 	size_t over_room;
--- a/standin/lab.c
+++ b/standin/lab.c
@@ -324,6 +324,11 @@
 	return d;
 }
 
+bool lab_is_ready(const lab_node_t *n)
+{
+	return http_once(n->addr, "GET", "/readyz", NULL, NULL, NULL) == 200;
+}
+
 bool lab_wait_ready(const lab_node_t *n, usec_t limit)
 {
 	usec_t until = standin_now() + limit;
--- a/standin/lab.h
+++ b/standin/lab.h
@@ -99,6 +99,8 @@
 void lab_signal(lab_node_t *n, int sig);
 /** Waits for its end at most so long; false if it still runs. */
 bool lab_wait_end(lab_node_t *n, usec_t limit);
+/** Whether a daemon tells its callers that it is ready. */
+bool lab_is_ready(const lab_node_t *n);
 /** Waits until a daemon says that it is ready. */
 bool lab_wait_ready(const lab_node_t *n, usec_t limit);
 /** Publishes a configuration to the platform. */
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -11,6 +11,7 @@
 #include "lab.h"
 
 #define SCRIPT_MAX_ARGS 32
+#define RUN_MAX_DAEMONS 64
 
 /** Words that may begin a line, in three kinds of lines. */
 typedef enum verb {
@@ -89,6 +90,9 @@
 	GPtrArray *calls; /**< lab_call_t of all queries and loads */
 	GMutex lock;	  /**< of calls */
 	GPtrArray *threads;
+	GThread *balancer; /**< asks the daemons whether they are ready */
+	gint ready[RUN_MAX_DAEMONS];
+	gint over;	  /**< set when all requests have ended */
 	GArray *journal;  /**< lab_run_t, read at the end */
 	GHashTable *runs; /**< tag to number of runs */
 	unsigned faults;
--- a/tests/scenario_ask.c
+++ b/tests/scenario_ask.c
@@ -7,7 +7,7 @@
 #include "standin.h"
 
 #define LOAD_WORKERS 48
-#define MAX_DAEMONS 64
+#define BALANCER_PERIOD (50 * USEC_PER_MSEC)
 
 /* A load: requests at even times, whether or not earlier ones ended. */
 typedef struct load {
@@ -74,12 +74,44 @@
 	return NULL;
 }
 
+/* Plays the balancer: which daemons say that they are ready. */
+static gpointer balancer_thread(gpointer arg)
+{
+	run_t *r = arg;
+	char name[16];
+	unsigned i;
+
+	while (!g_atomic_int_get(&r->over)) {
+		for (i = 0; i < r->lab->ndaemons; i++) {
+			g_snprintf(name, sizeof(name), "d%u", i + 1);
+			g_atomic_int_set(&r->ready[i],
+					 lab_is_ready(lab_node(r->lab, name)));
+		}
+		g_usleep(BALANCER_PERIOD);
+	}
+	return NULL;
+}
+
+/* The daemon whose turn it is, or the next one that is ready. */
+static unsigned choose(const run_t *r, unsigned turn)
+{
+	unsigned n = r->lab->ndaemons;
+	unsigned i;
+
+	for (i = 0; i < n; i++)
+		if (g_atomic_int_get(&r->ready[(turn + i) % n]))
+			return (turn + i) % n;
+	return turn % n;
+}
+
 static void worker_ask(load_t *l, void **sessions, lab_call_t *c)
 {
 	usec_t now = standin_now();
 
 	if (c->at > now)
 		g_usleep((gulong)(c->at - now));
+	if (l->spread)
+		c->daemon = choose(l->run, c->daemon);
 	if (!sessions[c->daemon])
 		sessions[c->daemon] = lab_session(l->run->lab, c->daemon);
 	lab_ask_on(sessions[c->daemon], c);
@@ -90,7 +122,7 @@
 static gpointer worker_thread(gpointer arg)
 {
 	load_t *l = arg;
-	void *sessions[MAX_DAEMONS] = { NULL };
+	void *sessions[RUN_MAX_DAEMONS] = { NULL };
 	unsigned i;
 
 	for (;;) {
@@ -102,7 +134,7 @@
 		worker_ask(l, sessions, &l->calls[i]);
 		keep(l->run, &l->calls[i]);
 	}
-	for (i = 0; i < MAX_DAEMONS; i++)
+	for (i = 0; i < RUN_MAX_DAEMONS; i++)
 		if (sessions[i])
 			lab_session_free(sessions[i]);
 	return NULL;
@@ -131,6 +163,8 @@
 			g_snprintf(c->route, sizeof(c->route), "r%u", i);
 		c->at = now + (usec_t)((double)i / rate * 1e6);
 	}
+	if (!r->balancer)
+		r->balancer = g_thread_new("balancer", balancer_thread, r);
 	for (i = 0; i < LOAD_WORKERS; i++)
 		g_ptr_array_add(r->threads,
 				g_thread_new("load", worker_thread, l));
--- a/tests/scenario_run.c
+++ b/tests/scenario_run.c
@@ -269,14 +269,20 @@
 	g_ptr_array_free(order, TRUE);
 	for (i = 0; i < r->threads->len; i++)
 		g_thread_join(r->threads->pdata[i]);
+	g_atomic_int_set(&r->over, 1);
+	if (r->balancer)
+		g_thread_join(r->balancer);
 	g_usleep((gulong)SETTLE);
 }
 
 unsigned run_script(const script_t *s, bool verbose, bool keep)
 {
 	run_t r = { .script = s, .verbose = verbose };
+	guint i;
 
 	g_mutex_init(&r.lock);
+	for (i = 0; i < RUN_MAX_DAEMONS; i++)
+		r.ready[i] = 1;
 	r.calls = g_ptr_array_new();
 	r.threads = g_ptr_array_new();
 	r.lab = lab_new();
--- a/tests/unit_walk.c
+++ b/tests/unit_walk.c
@@ -59,7 +59,7 @@
 	bool leaving[SERVERS]; /* as published */
 	usec_t leaving_at[SERVERS];
 	bool read[SERVERS]; /* a read of the list told of its leaving */
-	uint64_t oldest; /* snapshots held: oldest and the next one */
+	uint64_t oldest;    /* snapshots held: oldest and the next one */
 	uint64_t list_version;
 	bool platform_up;
 	usec_t list_read_at;
