Date each word by when it was asked for; restart queries on what servers hold now

Cause: leaving-list failed: a frozen daemon woke and sent one request to a server that had been leaving for 3.1 s. Its log shows the send 0.4 ms after the pause, on a probe's reply that had waited in the engine's queue with its age counted before the pause.

Ruled out: the list's lease (its confirmation was older than 2 s).

Change: lists and probes carry the time they were asked at; a word from before a pause does not end it. Hedges fall back on a quarter of the time left. A server whose oldest request is out for 8 times its latency is avoided. The walk now holds words back over pauses.

--- a/core/attempt.c
+++ b/core/attempt.c
@@ -57,10 +57,12 @@
 	const query_t *q = sh->q;
 	usec_t at;
 
-	if (c->params.hedge_quantile <= 0 || !q->class->idempotent ||
-	    sh->group->latency.total < HEDGE_MIN_SAMPLES)
+	if (c->params.hedge_quantile <= 0 || !q->class->idempotent)
 		return;
-	at = now + hedge_delay(c, sh->group);
+	if (sh->group->latency.total < HEDGE_MIN_SAMPLES)
+		at = now + (q->deadline - now) / HEDGE_BLIND_PART;
+	else
+		at = now + hedge_delay(c, sh->group);
 	if (at >= q->deadline)
 		return;
 	timer_arm(c, (timer_entry_t){ .at = at,
@@ -99,7 +101,7 @@
 	a->u = p->u;
 	a->sent_at = now;
 	a->hedge = why == WHY_HEDGE;
-	p->u->inflight++;
+	upstream_add(p->u, a);
 	q->nout++;
 	q->sent++;
 	sh->tries++;
@@ -155,7 +157,7 @@
 		return;
 	}
 	idmap_del(&c->attempts, a->id);
-	a->u->inflight--;
+	upstream_remove(a->u, a);
 	note_result(c, a, r, ev, now);
 	drain = a->u->group;
 	q = idmap_get(&c->queries, a->qid);
--- a/core/core.c
+++ b/core/core.c
@@ -81,20 +81,20 @@
 	}
 	u->failures = 0;
 	u->blocked_until = 0;
-	upstream_evidence(c, u, &ev->probe.evidence, now - ev->probe.took, now);
+	upstream_evidence(c, u, &ev->probe.evidence, ev->probe.at, now);
 	if (u->group && u->group->nwaiting)
 		queue_drain(c, u->group, now);
 }
 
 static void on_list(core_t *c, event_t *ev, usec_t now)
 {
-	list_take(c, ev->list.list, ev->list.age, now);
+	list_take(c, ev->list.list, ev->list.at, now);
 	queue_drain_all(c, now);
 }
 
 static void on_list_same(core_t *c, event_t *ev, usec_t now)
 {
-	list_same(c, ev->list.version, ev->list.age, now);
+	list_same(c, ev->list.version, ev->list.at);
 	queue_drain_all(c, now);
 }
 
--- a/core/core.h
+++ b/core/core.h
@@ -186,7 +186,7 @@
 			result_t result;
 			evidence_t evidence;
 			part_t *part; /**< taken over by the core */
-			usec_t took;  /**< since the attempt was handed out */
+
 			bool connect_failed; /**< with RES_NOT_SENT */
 		} attempt;
 		struct {
@@ -197,12 +197,12 @@
 			str_t addr;
 			bool ok;
 			evidence_t evidence;
-			usec_t took; /**< since the probe was sent */
+			usec_t at; /**< when the probe was sent */
 		} probe;
 		struct {
 			const host_list_t *list;
 			uint64_t version;
-			usec_t age; /**< since it was known current */
+			usec_t at; /**< the word is no older */
 		} list;
 		conf_t *conf; /**< taken over, back in ACT_CONF_DROP */
 	};
--- a/core/libcore.h
+++ b/core/libcore.h
@@ -6,7 +6,7 @@
 
 #define SHARD_MAX_LIVE 2 /* an attempt and its hedge */
 #define SHARD_MAX_TRIES 12
-#define QUERY_MAX_RESTARTS 4
+#define QUERY_MAX_RESTARTS 6
 #define UPSTREAM_MIN_LIMIT 1.0
 
 #define TICK_PERIOD (50 * USEC_PER_MSEC)
@@ -25,6 +25,10 @@
 #define DOWN_AFTER_FAILURES 3
 #define QUEUE_MAX_PER_SERVER 64
 #define HEDGE_MEDIANS 4
+#define HEDGE_BLIND_PART 4 /* of the time left, without samples */
+#define SUSPECT_LATENCIES 8
+#define SUSPECT_MIN (30 * USEC_PER_MSEC)
+#define REPIN_WAIT (20 * USEC_PER_MSEC)
 #define HIST_DECAY_AT 2000
 
 /* Objects found by an id that is never used again for another object. */
@@ -56,6 +60,8 @@
 	unsigned cap; /* connections this daemon may hold */
 	double limit; /* requests in flight, at most cap */
 	unsigned inflight;
+	struct attempt *first; /* out to it, the oldest first */
+	struct attempt *last;
 	unsigned slots;
 	usec_t latency;	      /* decaying mean, 0 when unknown */
 	usec_t heard_at;      /* last direct evidence, 0 for never */
@@ -147,7 +153,9 @@
 	usec_t deadline;
 	usec_t soft;
 	uint64_t snapshot;
-	unsigned epoch; /* counts restarts */
+	unsigned epoch;				   /* counts restarts */
+	uint64_t given_up[QUERY_MAX_RESTARTS + 1]; /* snapshots */
+	size_t ngiven_up;
 	unsigned sent;
 	size_t nshards;
 	size_t ndone;
@@ -171,7 +179,9 @@
 	usec_t sent_at;
 	bool hedge;
 	bool urgent;
-	bool dropped; /* the query does not wait for it */
+	bool dropped;	      /* the query does not wait for it */
+	struct attempt *prev; /* of the same server */
+	struct attempt *next;
 } attempt_t;
 
 typedef enum timer_kind {
@@ -180,6 +190,7 @@
 	TM_SOFT,
 	TM_HEDGE,
 	TM_BACKOFF,
+	TM_REPIN,
 } timer_kind_t;
 
 typedef struct timer {
@@ -279,7 +290,12 @@
 bool upstream_usable(const core_t *c, const upstream_t *u, usec_t now);
 /* Whether a request of this kind may be added to it now. */
 bool upstream_has_room(const upstream_t *u, bool urgent);
+/* Whether it told last that it lacks the snapshot. */
 bool upstream_lacks(const upstream_t *u, uint64_t snapshot, uint32_t map);
+/* Whether its oldest request is out for far longer than usual. */
+bool upstream_suspect(const upstream_t *u, usec_t now);
+void upstream_add(upstream_t *u, struct attempt *a);
+void upstream_remove(upstream_t *u, struct attempt *a);
 double upstream_expected(const upstream_t *u, usec_t now);
 void upstreams_free(core_t *c);
 
@@ -296,11 +312,11 @@
 
 /* snapshot.c */
 uint64_t snapshot_pin(const svc_t *s, group_t *const *groups, size_t ngroups,
-		      uint64_t not_this);
+		      const uint64_t *given_up, size_t ngiven_up);
 
 /* list.c */
-void list_take(core_t *c, const host_list_t *l, usec_t age, usec_t now);
-void list_same(core_t *c, uint64_t version, usec_t age, usec_t now);
+void list_take(core_t *c, const host_list_t *l, usec_t at, usec_t now);
+void list_same(core_t *c, uint64_t version, usec_t at);
 void list_failed(core_t *c);
 void list_woke(core_t *c, usec_t now);
 void list_apply_leaving(core_t *c, usec_t now);
--- a/core/list.c
+++ b/core/list.c
@@ -25,15 +25,16 @@
 		b->list.leaving[i] = arena_str(&b->mem, l->leaving[i]);
 }
 
-static void confirm(core_t *c, usec_t age, usec_t now)
+static void confirm(core_t *c, usec_t at)
 {
 	board_list_t *b = &c->board.list;
-	usec_t at = now - age;
 
 	if (at > b->confirmed_at)
 		b->confirmed_at = at;
 	b->platform_down = false;
-	b->slept = false;
+	/* A word from before the pause may have waited as long. */
+	if (at >= b->woke_at)
+		b->slept = false;
 }
 
 static bool listed_leaving(const board_list_t *b, str_t addr)
@@ -74,7 +75,7 @@
 	}
 }
 
-void list_take(core_t *c, const host_list_t *l, usec_t age, usec_t now)
+void list_take(core_t *c, const host_list_t *l, usec_t at, usec_t now)
 {
 	board_list_t *b = &c->board.list;
 
@@ -83,15 +84,15 @@
 		return;
 	if (l->version > b->list.version)
 		copy_list(b, l);
-	confirm(c, age, now);
+	confirm(c, at);
 	list_apply_leaving(c, now);
 	return_to_work(c);
 }
 
-void list_same(core_t *c, uint64_t version, usec_t age, usec_t now)
+void list_same(core_t *c, uint64_t version, usec_t at)
 {
 	if (version == c->board.list.list.version)
-		confirm(c, age, now);
+		confirm(c, at);
 }
 
 void list_failed(core_t *c)
--- a/core/pick.c
+++ b/core/pick.c
@@ -115,28 +115,65 @@
 	return v[b].u->inflight < v[a].u->inflight ? b : a;
 }
 
+/* How much a server is wanted; the first kind that there is, is used. */
+typedef enum rank {
+	RANK_GOOD,
+	RANK_SUSPECT,  /* it does not answer */
+	RANK_MAY_LACK, /* it lacked the snapshot some time ago */
+	RANK_MAX,
+	RANK_LACKS,
+	RANK_OUT, /* tried, leaving, or not reached */
+} rank_t;
+
+static rank_t rank_of(const core_t *c, const shard_t *sh, size_t i, usec_t now)
+{
+	const upstream_t *u = sh->group->ups[i];
+	uint64_t snapshot = sh->q->snapshot;
+	uint32_t map = sh->q->svc->conf->map;
+
+	/* What it told before the query came is a hint only. */
+	if (sh->missed >> i & 1 ||
+	    (upstream_lacks(u, snapshot, map) && u->heard_at > sh->q->arrived))
+		return RANK_LACKS;
+	if (sh->tried >> i & 1 || !upstream_usable(c, u, now))
+		return RANK_OUT;
+	if (upstream_lacks(u, snapshot, map))
+		return RANK_MAY_LACK;
+	return upstream_suspect(u, now) ? RANK_SUSPECT : RANK_GOOD;
+}
+
+/* Looks for servers of one rank; counts those that have room. */
+static size_t gather(const shard_t *sh, const rank_t *ranks, rank_t rank,
+		     cand_t *v, size_t *usable)
+{
+	bool urgent = sh->q->class->kind == CONF_URGENT;
+	size_t n = 0, i;
+
+	for (i = 0; i < sh->group->nups; i++) {
+		if (ranks[i] != rank)
+			continue;
+		(*usable)++;
+		if (upstream_has_room(sh->group->ups[i], urgent))
+			v[n++] = (cand_t){ sh->group->ups[i], (unsigned)i };
+	}
+	return n;
+}
+
 void pick_replica(core_t *c, const shard_t *sh, usec_t now, pick_t *p)
 {
-	const query_t *q = sh->q;
-	bool urgent = q->class->kind == CONF_URGENT;
+	rank_t ranks[CONF_MAX_SERVERS];
 	cand_t v[CONF_MAX_SERVERS];
-	upstream_t *u;
+	rank_t rank;
 	size_t i, at;
 
 	*p = (pick_t){ 0 };
 	for (i = 0; i < sh->group->nups; i++) {
-		u = sh->group->ups[i];
-		if (upstream_lacks(u, q->snapshot, q->svc->conf->map) ||
-		    sh->missed >> i & 1) {
-			p->lacking++;
-			continue;
-		}
-		if (sh->tried >> i & 1 || !upstream_usable(c, u, now))
-			continue;
-		p->usable++;
-		if (upstream_has_room(u, urgent))
-			v[p->candidates++] = (cand_t){ u, (unsigned)i };
+		ranks[i] = rank_of(c, sh, i, now);
+		p->lacking += ranks[i] == RANK_LACKS;
 	}
+	/* One that is only busy is waited for rather than a worse one. */
+	for (rank = RANK_GOOD; rank < RANK_MAX && p->usable == 0; rank++)
+		p->candidates = gather(sh, ranks, rank, v, &p->usable);
 	if (p->candidates == 0)
 		return;
 	at = policies[c->params.policy].pick(c, sh->group, v, p->candidates,
--- a/core/query.c
+++ b/core/query.c
@@ -56,7 +56,7 @@
 }
 
 /* Lays out the shards for the query's service; pins the snapshot. */
-static void lay_out(core_t *c, query_t *q, uint64_t not_this)
+static void lay_out(core_t *c, query_t *q)
 {
 	group_t *const *groups = q->svc->groups;
 	size_t n = q->svc->ngroups;
@@ -74,7 +74,8 @@
 		q->shards[i].q = q;
 		q->shards[i].group = groups[i];
 	}
-	q->snapshot = snapshot_pin(q->svc, groups, n, not_this);
+	q->snapshot =
+		snapshot_pin(q->svc, groups, n, q->given_up, q->ngiven_up);
 	act_log(c, &(decision_line_t){ .what = DEC_PIN,
 				       .why = WHY_CHOSEN,
 				       .qid = q->id,
@@ -88,13 +89,25 @@
 	timer_arm(c, (timer_entry_t){ .at = at, .kind = kind, .qid = q->id });
 }
 
+/* None is left to try: look again soon, when servers have told more. */
+static void no_snapshot(core_t *c, query_t *q, usec_t now)
+{
+	if (q->epoch == 0 || q->epoch >= QUERY_MAX_RESTARTS) {
+		query_answer(c, q, WHY_NO_SNAPSHOT, now);
+		return;
+	}
+	q->epoch++;
+	q->ngiven_up = 0;
+	arm(c, q, TM_REPIN, now + REPIN_WAIT);
+}
+
 static void start_shards(core_t *c, query_t *q, usec_t now)
 {
 	unsigned epoch = q->epoch;
 	size_t i;
 
 	if (q->snapshot == 0) {
-		query_answer(c, q, WHY_NO_SNAPSHOT, now);
+		no_snapshot(c, q, now);
 		return;
 	}
 	/* Starting one shard may end the query or start it over. */
@@ -136,7 +149,7 @@
 		arm(c, q, TM_SOFT, q->soft);
 	if (!class->idempotent)
 		arm(c, q, TM_WITHDRAW, q->deadline - WITHDRAW_MARGIN);
-	lay_out(c, q, 0);
+	lay_out(c, q);
 	start_shards(c, q, now);
 }
 
@@ -168,6 +181,7 @@
 	c->counters[CNT_RESTARTS]++;
 	drop_shards(c, q);
 	q->epoch++;
+	q->given_up[q->ngiven_up++] = q->snapshot;
 	q->view = c->board.conf.view;
 	q->view->refs++;
 	q->svc = svc;
@@ -178,7 +192,7 @@
 				       .qid = q->id,
 				       .service = svc->conf->name,
 				       .snapshot = q->snapshot });
-	lay_out(c, q, q->snapshot);
+	lay_out(c, q);
 	start_shards(c, q, now);
 	return true;
 }
@@ -307,6 +321,13 @@
 	arm(c, q, TM_DEADLINE, now + WITHDRAW_MARGIN);
 }
 
+static void repin(core_t *c, query_t *q, usec_t now)
+{
+	drop_shards(c, q);
+	lay_out(c, q);
+	start_shards(c, q, now);
+}
+
 void query_timer(core_t *c, const timer_entry_t *t, usec_t now)
 {
 	query_t *q = idmap_get(&c->queries, t->qid);
@@ -324,6 +345,9 @@
 	case TM_WITHDRAW:
 		withdraw(c, q);
 		break;
+	case TM_REPIN:
+		repin(c, q, now);
+		break;
 	case TM_HEDGE:
 	case TM_BACKOFF:
 		shard_timer(c, q, t, now);
--- a/core/snapshot.c
+++ b/core/snapshot.c
@@ -35,9 +35,17 @@
 			note(v, n, u->evidence.held[i].snapshot, group);
 }
 
+static bool is_one_of(uint64_t x, const uint64_t *v, size_t n)
+{
+	while (n)
+		if (v[--n] == x)
+			return true;
+	return false;
+}
+
 /* The one in most groups, and of those the newest; 0 if none is known. */
 uint64_t snapshot_pin(const svc_t *s, group_t *const *groups, size_t ngroups,
-		      uint64_t not_this)
+		      const uint64_t *given_up, size_t ngiven_up)
 {
 	seen_t v[MAX_SEEN];
 	const seen_t *best = NULL;
@@ -49,7 +57,7 @@
 				note_upstream(groups[i]->ups[j], s->conf->map,
 					      v, &n, i);
 	for (i = 0; i < n; i++) {
-		if (v[i].snapshot == not_this)
+		if (is_one_of(v[i].snapshot, given_up, ngiven_up))
 			continue;
 		if (!best || v[i].groups > best->groups ||
 		    (v[i].groups == best->groups &&
--- a/core/upstream.c
+++ b/core/upstream.c
@@ -220,9 +220,50 @@
 	return u->evidence.nheld > 0;
 }
 
+void upstream_add(upstream_t *u, attempt_t *a)
+{
+	a->prev = u->last;
+	a->next = NULL;
+	if (u->last)
+		u->last->next = a;
+	else
+		u->first = a;
+	u->last = a;
+	u->inflight++;
+}
+
+void upstream_remove(upstream_t *u, attempt_t *a)
+{
+	if (a->prev)
+		a->prev->next = a->next;
+	else
+		u->first = a->next;
+	if (a->next)
+		a->next->prev = a->prev;
+	else
+		u->last = a->prev;
+	u->inflight--;
+}
+
+static usec_t oldest_age(const upstream_t *u, usec_t now)
+{
+	return u->first ? now - u->first->sent_at : 0;
+}
+
+bool upstream_suspect(const upstream_t *u, usec_t now)
+{
+	usec_t limit =
+		SUSPECT_LATENCIES * (u->latency ? u->latency : LATENCY_FIRST);
+
+	if (limit < SUSPECT_MIN)
+		limit = SUSPECT_MIN;
+	return oldest_age(u, now) > limit;
+}
+
 double upstream_expected(const upstream_t *u, usec_t now)
 {
 	double latency = u->latency ? (double)u->latency : LATENCY_FIRST;
+	usec_t oldest = oldest_age(u, now);
 	double slots = u->slots ? u->slots : 1;
 	usec_t age = now - u->heard_at;
 	double others = 0;
@@ -234,6 +275,9 @@
 		for (; age >= EVIDENCE_HALF_LIFE; age -= EVIDENCE_HALF_LIFE)
 			others /= 2;
 	}
+	/* One that does not answer is at least as slow as that shows. */
+	if (oldest > latency)
+		latency = (double)oldest;
 	load = u->inflight > others ? u->inflight : others;
 	return latency * (1.0 + load / slots);
 }
--- a/core/view.c
+++ b/core/view.c
@@ -15,6 +15,7 @@
 	s = xcalloc(1, sizeof(*s));
 	s->name = str_dup(name);
 	s->retry.tokens = BUDGET_BURST;
+	s->hedge.tokens = BUDGET_BURST;
 	b->states = xrealloc(b->states, (b->nstates + 1) * sizeof(s));
 	b->states[b->nstates++] = s;
 	return s;
--- a/daemon/platform.c
+++ b/daemon/platform.c
@@ -277,7 +277,7 @@
 	w->platform->hosts_version = l->version;
 	m->ev.list.list = l;
 	/* As old as the question: this thread may have slept since. */
-	m->ev.list.age = clock_now() - w->asked_at;
+	m->ev.list.at = w->asked_at;
 	engine_post(w->platform->engine, m);
 out:
 	json_decref(root);
@@ -288,7 +288,7 @@
 	msg_t *m = msg_new(kind);
 
 	m->ev.list.version = w->platform->hosts_version;
-	m->ev.list.age = clock_now() - w->asked_at;
+	m->ev.list.at = w->asked_at;
 	engine_post(w->platform->engine, m);
 }
 
--- a/daemon/pool.c
+++ b/daemon/pool.c
@@ -130,7 +130,7 @@
 	m->ev.probe.addr = arena_str(&m->mem, c->pool->addr);
 	m->ev.probe.ok = ok;
 	m->ev.probe.evidence = e;
-	m->ev.probe.took = c->used_at - began;
+	m->ev.probe.at = began;
 	engine_post(c->pools->engine, m);
 }
 
@@ -171,7 +171,6 @@
 		c->connected = false;
 	m->ev.attempt.result = r;
 	m->ev.attempt.connect_failed = r == RES_NOT_SENT && failed;
-	m->ev.attempt.took = c->used_at - j->queued_at;
 	/* Withdrawn meanwhile: the engine knows already. */
 	m->has_event = atomic_load(&j->state) != JOB_WITHDRAWN;
 	job_ended(c, j, m);
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -92,9 +92,10 @@
 	GPtrArray *threads;
 	GThread *balancer; /**< asks the daemons whether they are ready */
 	gint ready[RUN_MAX_DAEMONS];
-	gint over;	  /**< set when all requests have ended */
-	GArray *journal;  /**< lab_run_t, read at the end */
-	GHashTable *runs; /**< tag to number of runs */
+	gint turns[RUN_MAX_DAEMONS]; /**< how often readiness changed */
+	gint over;		     /**< set when all requests have ended */
+	GArray *journal;	     /**< lab_run_t, read at the end */
+	GHashTable *runs;	     /**< tag to number of runs */
 	unsigned faults;
 	bool verbose;
 } run_t;
--- a/tests/scenario_ask.c
+++ b/tests/scenario_ask.c
@@ -19,6 +19,12 @@
 	GMutex lock;
 } load_t;
 
+/* A worker's connection to a daemon, and its readiness count then. */
+typedef struct session {
+	void *session;
+	gint turns;
+} session_t;
+
 static void keep(run_t *r, lab_call_t *call)
 {
 	g_mutex_lock(&r->lock);
@@ -80,12 +86,15 @@
 	run_t *r = arg;
 	char name[16];
 	unsigned i;
+	gint ready;
 
 	while (!g_atomic_int_get(&r->over)) {
 		for (i = 0; i < r->lab->ndaemons; i++) {
 			g_snprintf(name, sizeof(name), "d%u", i + 1);
-			g_atomic_int_set(&r->ready[i],
-					 lab_is_ready(lab_node(r->lab, name)));
+			ready = lab_is_ready(lab_node(r->lab, name));
+			if (ready != g_atomic_int_get(&r->ready[i]))
+				g_atomic_int_inc(&r->turns[i]);
+			g_atomic_int_set(&r->ready[i], ready);
 		}
 		g_usleep(BALANCER_PERIOD);
 	}
@@ -104,7 +113,22 @@
 	return turn % n;
 }
 
-static void worker_ask(load_t *l, void **sessions, lab_call_t *c)
+/* A balancer keeps no connection to a daemon that was taken out. */
+static void *session_for(const load_t *l, session_t *s, unsigned daemon)
+{
+	gint turns = g_atomic_int_get(&l->run->turns[daemon]);
+
+	if (s[daemon].session && s[daemon].turns != turns) {
+		lab_session_free(s[daemon].session);
+		s[daemon].session = NULL;
+	}
+	if (!s[daemon].session)
+		s[daemon].session = lab_session(l->run->lab, daemon);
+	s[daemon].turns = turns;
+	return s[daemon].session;
+}
+
+static void worker_ask(load_t *l, session_t *s, lab_call_t *c)
 {
 	usec_t now = standin_now();
 
@@ -112,9 +136,7 @@
 		g_usleep((gulong)(c->at - now));
 	if (l->spread)
 		c->daemon = choose(l->run, c->daemon);
-	if (!sessions[c->daemon])
-		sessions[c->daemon] = lab_session(l->run->lab, c->daemon);
-	lab_ask_on(sessions[c->daemon], c);
+	lab_ask_on(session_for(l, s, c->daemon), c);
 	/* From when it was due: a slow system does not slow the load. */
 	c->took = standin_now() - c->at;
 }
@@ -122,7 +144,7 @@
 static gpointer worker_thread(gpointer arg)
 {
 	load_t *l = arg;
-	void *sessions[RUN_MAX_DAEMONS] = { NULL };
+	session_t sessions[RUN_MAX_DAEMONS] = { 0 };
 	unsigned i;
 
 	for (;;) {
@@ -135,8 +157,8 @@
 		keep(l->run, &l->calls[i]);
 	}
 	for (i = 0; i < RUN_MAX_DAEMONS; i++)
-		if (sessions[i])
-			lab_session_free(sessions[i]);
+		if (sessions[i].session)
+			lab_session_free(sessions[i].session);
 	return NULL;
 }
 
--- a/tests/unit_walk.c
+++ b/tests/unit_walk.c
@@ -19,6 +19,7 @@
 #define SERVERS (GROUPS * REPLICAS)
 #define MAX_CALLS (STEPS + 1)
 #define MAX_ATTEMPTS 4096
+#define MAX_WORDS 8
 #define CONNECTIONS 9
 #define DAEMONS 3
 #define CAP (CONNECTIONS / DAEMONS)
@@ -45,6 +46,18 @@
 	result_t result;
 } att_t;
 
+/* What platform or server said at a time. */
+typedef struct word {
+	bool held;
+	bool list; /* the platform's list, else a server's state */
+	unsigned server;
+	usec_t at;
+	uint64_t oldest;
+	uint64_t version;
+	bool up; /* the platform answered */
+	bool leaving[SERVERS];
+} word_t;
+
 typedef struct walk {
 	uint64_t seed;
 	rng_t rng;
@@ -63,6 +76,8 @@
 	uint64_t list_version;
 	bool platform_up;
 	usec_t list_read_at;
+	word_t words[MAX_WORDS];
+	unsigned nwords;
 	unsigned faults;
 } walk_t;
 
@@ -336,42 +351,60 @@
 	}
 }
 
-static void do_probe(walk_t *w, unsigned server)
+/* A word that waits before the core takes it, by a pause perhaps. */
+static void hold_word(walk_t *w, unsigned server, bool list)
+{
+	word_t *d = &w->words[w->nwords++ % MAX_WORDS];
+
+	*d = (word_t){ .held = true,
+		       .list = list,
+		       .server = server,
+		       .at = w->now,
+		       .oldest = w->oldest,
+		       .version = w->list_version,
+		       .up = w->platform_up };
+	memcpy(d->leaving, w->leaving, sizeof(d->leaving));
+}
+
+static void do_probe(walk_t *w, const word_t *d)
 {
 	event_t ev = { .kind = EV_PROBE };
+	unsigned server = d->server;
 	char addr[32];
 
 	snprintf(addr, sizeof(addr), "127.0.0.1:%u", server + 1);
+	ev.probe.at = d->at;
 	ev.probe.addr = str_of(addr);
 	ev.probe.ok = rng_below(&w->rng, 8) != 0;
 	ev.probe.evidence.valid = true;
 	ev.probe.evidence.slots = 3;
 	ev.probe.evidence.nheld = 2;
-	ev.probe.evidence.held[0] = (holding_t){ 1, w->oldest };
-	ev.probe.evidence.held[1] = (holding_t){ 1, w->oldest + 1 };
+	ev.probe.evidence.held[0] = (holding_t){ 1, d->oldest };
+	ev.probe.evidence.held[1] = (holding_t){ 1, d->oldest + 1 };
 	/* A leaving server's own word says so. */
-	ev.probe.evidence.draining = w->leaving[server];
+	ev.probe.evidence.draining = d->leaving[server];
 	step(w, &ev);
 }
 
-static void do_list(walk_t *w)
+static void do_list(walk_t *w, const word_t *d)
 {
-	host_list_t l = { .version = w->list_version };
+	host_list_t l = { .version = d->version };
 	event_t ev = { .kind = EV_LIST };
 	char addrs[SERVERS][32];
 	str_t leaving[SERVERS];
 	unsigned i;
 
-	if (!w->platform_up) {
+	if (!d->up) {
 		ev.kind = EV_LIST_FAILED;
 		step(w, &ev);
 		return;
 	}
+	ev.list.at = d->at;
 	for (i = 0; i < SERVERS; i++) {
-		if (!w->leaving[i])
+		if (!d->leaving[i])
 			continue;
 		snprintf(addrs[i], sizeof(addrs[i]), "127.0.0.1:%u", i + 1);
-		w->read[i] = true;
+		w->read[i] |= w->leaving[i];
 		leaving[l.nleaving++] = str_of(addrs[i]);
 	}
 	l.leaving = leaving;
@@ -379,6 +412,25 @@
 	step(w, &ev);
 }
 
+/* Takes a word that waited, the oldest first. */
+static void do_word(walk_t *w)
+{
+	word_t *d;
+	unsigned i;
+
+	for (i = 0; i < MAX_WORDS; i++) {
+		d = &w->words[(w->nwords + i) % MAX_WORDS];
+		if (!d->held)
+			continue;
+		d->held = false;
+		if (d->list)
+			do_list(w, d);
+		else
+			do_probe(w, d);
+		return;
+	}
+}
+
 static void do_leave(walk_t *w)
 {
 	unsigned i = (unsigned)rng_below(&w->rng, SERVERS);
@@ -418,7 +470,9 @@
 	if (w->now - w->list_read_at > USEC_PER_SEC / 2) {
 		w->list_read_at = w->now;
 		step(w, &ev);
-		do_list(w);
+		hold_word(w, 0, true);
+		if (rng_below(&w->rng, 4))
+			do_word(w);
 		return;
 	}
 	step(w, &ev);
@@ -461,7 +515,11 @@
 		break;
 	case 4:
 	case 5:
-		do_probe(w, (unsigned)rng_below(&w->rng, SERVERS));
+		hold_word(w, (unsigned)rng_below(&w->rng, SERVERS), false);
+		break;
+	case 17:
+	case 18:
+		do_word(w);
 		break;
 	case 6:
 	case 7:
@@ -528,9 +586,12 @@
 	p.policy = (policy_t)(seed % POLICY_MAX);
 	w.core = core_new(&p, w.now);
 	do_publish(&w);
-	do_list(&w);
-	for (i = 0; i < SERVERS; i++)
-		do_probe(&w, i);
+	hold_word(&w, 0, true);
+	do_word(&w);
+	for (i = 0; i < SERVERS; i++) {
+		hold_word(&w, i, false);
+		do_word(&w);
+	}
 	for (i = 0; i < STEPS && !w.faults; i++)
 		one_step(&w);
 	if (!w.faults)
