--- a/conf/conf_model.c
+++ b/conf/conf_model.c
@@ -25,7 +25,14 @@
 
 unsigned conf_share(const conf_t *c, const conf_service_t *s)
 {
-	return s->connections / c->max_daemons;
+	unsigned k = s->holders;
+
+	/* While lists differ, a few more daemons may hold a group. */
+	if (k)
+		k += (k + 1) / 2;
+	if (k == 0 || k > c->max_daemons)
+		k = c->max_daemons;
+	return s->connections / k;
 }
 
 void conf_free(conf_t *c)
--- a/core/act.c
+++ b/core/act.c
@@ -44,6 +44,8 @@
 	[WHY_LOWER_REVISION] = "lower_revision",
 	[WHY_SAME_REVISION] = "same_revision",
 	[WHY_NEWER_REVISION] = "newer_revision",
+	[WHY_KEY_REUSED] = "key_reused",
+	[WHY_FORWARDED] = "forwarded",
 };
 
 static const char *const results[RES_MAX] = {
@@ -54,11 +56,12 @@
 };
 
 static const char *const decisions[DEC_MAX] = {
-	[DEC_PIN] = "pin",	   [DEC_ROUTE] = "route",
-	[DEC_WAIT] = "wait",	   [DEC_SHARD_FAILED] = "shard_failed",
-	[DEC_RESTART] = "restart", [DEC_ANSWER] = "answer",
-	[DEC_LEAVING] = "leaving", [DEC_CONFIG] = "config",
-	[DEC_PAUSE] = "pause",
+	[DEC_PIN] = "pin",	     [DEC_ROUTE] = "route",
+	[DEC_WAIT] = "wait",	     [DEC_SHARD_FAILED] = "shard_failed",
+	[DEC_RESTART] = "restart",   [DEC_ANSWER] = "answer",
+	[DEC_LEAVING] = "leaving",   [DEC_CONFIG] = "config",
+	[DEC_PAUSE] = "pause",	     [DEC_HOLDER] = "holder",
+	[DEC_KEY_HOME] = "key_home", [DEC_READ] = "read",
 };
 
 static const char *const counters[CNT_MAX] = {
@@ -80,6 +83,12 @@
 	[CNT_LATE] = "late",
 	[CNT_BUDGET_DENIED] = "budget_denied",
 	[CNT_PAUSES] = "pauses",
+	[CNT_PEER_SENT] = "peer_sent",
+	[CNT_PEER_RECEIVED] = "peer_received",
+	[CNT_FORWARDS] = "forwards",
+	[CNT_FORWARDED_GROUPS] = "forwarded_groups",
+	[CNT_KEYED_AWAY] = "keyed_away",
+	[CNT_KEY_DUPLICATES] = "key_duplicates",
 };
 
 const char *outcome_name(outcome_t o)
--- a/core/core.c
+++ b/core/core.c
@@ -15,6 +15,8 @@
 static void on_conf(core_t *c, event_t *ev, usec_t now);
 static void on_tick(core_t *c, event_t *ev, usec_t now);
 static void on_stop(core_t *c, event_t *ev, usec_t now);
+static void on_peer(core_t *c, event_t *ev, usec_t now);
+static void on_peer_failed(core_t *c, event_t *ev, usec_t now);
 
 static const handler_t handlers[EV_MAX] = {
 	[EV_REQUEST] = on_request,
@@ -27,6 +29,8 @@
 	[EV_CONF] = on_conf,
 	[EV_TICK] = on_tick,
 	[EV_STOP] = on_stop,
+	[EV_PEER] = on_peer,
+	[EV_PEER_FAILED] = on_peer_failed,
 };
 
 void core_params_init(core_params_t *p)
@@ -43,10 +47,17 @@
 core_t *core_new(const core_params_t *p, usec_t now)
 {
 	core_t *c = xcalloc(1, sizeof(*c));
+	size_t i;
 
 	c->params = *p;
 	c->name = str_dup(p->name);
 	c->dc = str_dup(p->dc);
+	c->params.peer = str_dup(p->peer);
+	c->params.seeds = xcalloc(p->nseeds, sizeof(*p->seeds));
+	for (i = 0; i < p->nseeds; i++)
+		c->params.seeds[i] = str_dup(p->seeds[i]);
+	c->board.keys.started_at = now;
+	peer_start(c, now);
 	c->params.name = c->name;
 	c->params.dc = c->dc;
 	c->rng.state = p->seed;
@@ -110,9 +121,22 @@
 	view_adopt(c, ev->conf, now);
 }
 
+static void on_peer(core_t *c, event_t *ev, usec_t now)
+{
+	peer_message(c, ev, now);
+}
+
+static void on_peer_failed(core_t *c, event_t *ev, usec_t now)
+{
+	key_failed(c, ev->token, now);
+	forward_failed(c, ev->token, now);
+}
+
 static void on_tick(core_t *c, event_t *ev, usec_t now)
 {
 	(void)ev;
+	peer_tick(c, now);
+	key_tick(c, now);
 	queue_drain_all(c, now);
 }
 
@@ -144,6 +168,10 @@
 
 	for (i = 0; i < q->nshards; i++)
 		shard_drop(c, &q->shards[i]);
+	if (q->owns_body)
+		act_add(c, ACT_BODY_DROP)->body = q->body;
+	str_free(q->reply_to);
+	free(q->forwards);
 	free(q->shards);
 	free(q->merged);
 	free(q->missing);
@@ -170,8 +198,9 @@
 	timer_entry_t t;
 
 	c->acts = acts;
-	/* Parts that the last step's answer points to are freed only now. */
+	/* What the last step's actions point to is freed only now. */
 	free_over(c);
+	arena_free(&c->scratch);
 	check_pause(c, now);
 	handlers[ev->kind](c, ev, now);
 	while (timer_pop(c, now, &t))
@@ -192,6 +221,7 @@
 {
 	acts_t *acts;
 	uint32_t i;
+	size_t j;
 
 	if (!c)
 		return;
@@ -203,6 +233,16 @@
 			free_query(c, idmap_at(&c->queries, i));
 	for (i = 0; i < c->attempts.n; i++)
 		free(idmap_at(&c->attempts, i));
+	for (i = 0; i < c->forwards.n; i++)
+		forward_free(idmap_at(&c->forwards, i));
+	idmap_free(&c->forwards);
+	key_free(c);
+	peer_free(c);
+	for (j = 0; j < c->params.nseeds; j++)
+		str_free(c->params.seeds[j]);
+	free(c->params.seeds);
+	str_free(c->params.peer);
+	arena_free(&c->scratch);
 	view_free_all(c);
 	upstreams_free(c);
 	list_free(c);
--- a/core/core.h
+++ b/core/core.h
@@ -58,6 +58,8 @@
 	WHY_LOWER_REVISION,
 	WHY_SAME_REVISION,
 	WHY_NEWER_REVISION,
+	WHY_KEY_REUSED,
+	WHY_FORWARDED,
 	WHY_MAX,
 } why_t;
 
@@ -120,8 +122,9 @@
 	str_t key;	 /**< Idempotency-Key, or empty */
 	usec_t deadline; /**< time left, 0 for the class's own */
 	unsigned limit;	 /**< most hits wanted */
-	void *body;	 /**< handed back in ACT_SEND and ACT_FORWARD */
-	void *caller;	 /**< handed back in ACT_ANSWER */
+	void *body;	 /**< handed back in ACT_SEND and ACT_PEER */
+	uint64_t body_hash;
+	void *caller; /**< handed back in ACT_ANSWER */
 } request_t;
 
 /** An answer, valid until the next core_step(). */
@@ -150,6 +153,7 @@
 	str_t dc;
 	str_t peer; /**< IP:PORT of its peer socket */
 	bool leaving;
+	uint64_t id; /**< hash of the name; set by the core */
 } member_t;
 
 /** The published list of hosts. */
@@ -161,6 +165,62 @@
 	size_t nleaving;
 } host_list_t;
 
+/** Messages between daemons. */
+typedef enum peer_kind {
+	PEER_DIGEST, /**< what I know; please say what you know */
+	PEER_DIGEST_REPLY,
+	PEER_PULL, /**< send me what is newer than my revision */
+	PEER_DELTA,
+	PEER_LIST_PULL, /**< send me your list of hosts */
+	PEER_LIST,
+	PEER_KEYED,   /**< run a request of a key that is yours */
+	PEER_ANSWER,  /**< the answer to PEER_KEYED */
+	PEER_FORWARD, /**< ask the groups that you hold */
+	PEER_PARTS,   /**< results of groups of PEER_FORWARD */
+	PEER_MAX,
+} peer_kind_t;
+
+/** What became of one group of a forwarded query. */
+typedef struct peer_part {
+	str_t group;
+	uint64_t result; /**< result_t */
+	uint64_t nheld;
+	holding_t held[CORE_MAX_HELD]; /**< that the group can serve */
+	part_t *part;		       /**< with RES_OK; the receiver's */
+} peer_part_t;
+
+/** One message; which members it has depends on its kind. */
+typedef struct peer_msg {
+	peer_kind_t kind;
+	str_t from;	    /**< name of the daemon that sends */
+	str_t reply_to;	    /**< its peer address */
+	uint64_t token;	    /**< of the sender's; a reply returns it */
+	uint64_t revision;  /**< in force there */
+	uint64_t conf_hash; /**< of the configuration in force */
+	uint64_t list_version;
+	int64_t list_age; /**< microseconds, below 0: never read */
+	str_t text;	  /**< a delta, or the body of a request */
+	host_list_t list;
+	str_t service;
+	str_t class_name;
+	str_t route;
+	str_t key;
+	int64_t left; /**< time left, in microseconds */
+	uint64_t limit;
+	uint64_t map;
+	uint64_t snapshot;
+	str_t *groups;
+	size_t ngroups;
+	peer_part_t *parts;
+	size_t nparts;
+	/* Of an answer. */
+	uint64_t outcome;
+	uint64_t why;
+	uint64_t total;
+	const hit_t *hits;
+	size_t nhits;
+} peer_msg_t;
+
 /** What happened. */
 typedef enum ev_kind {
 	EV_REQUEST,	/**< a caller asks */
@@ -171,6 +231,8 @@
 	EV_LIST_SAME,	/**< the list was read and is unchanged */
 	EV_LIST_FAILED, /**< the platform did not answer */
 	EV_CONF,	/**< a valid configuration is here */
+	EV_PEER,	/**< another daemon sent a message */
+	EV_PEER_FAILED, /**< a message with that token was not sent */
 	EV_TICK,	/**< time went by */
 	EV_STOP,	/**< a planned stop was asked */
 	EV_MAX,
@@ -205,9 +267,22 @@
 			usec_t at; /**< the word is no older */
 		} list;
 		conf_t *conf; /**< taken over, back in ACT_CONF_DROP */
+		struct {
+			peer_msg_t *msg; /**< its parts are taken over */
+			void *body; /**< of a request; back in ACT_BODY_DROP */
+			uint64_t body_hash;
+		} peer;
+		uint64_t token;
 	};
 } event_t;
 
+/** How a daemon reads the platform. */
+typedef enum read_mode {
+	READ_OFF,   /**< peers tell it */
+	READ_ONCE,  /**< one read, then off */
+	READ_WATCH, /**< it watches for the others too */
+} read_mode_t;
+
 /** What is to be done. */
 typedef enum act_kind {
 	ACT_SEND,      /**< send an attempt */
@@ -217,6 +292,9 @@
 	ACT_POOL,      /**< a server's number of connections */
 	ACT_CONF,      /**< a configuration came in force */
 	ACT_CONF_DROP, /**< no query uses this configuration now */
+	ACT_BODY_DROP, /**< a body from a peer is not needed any more */
+	ACT_PEER,      /**< send a message to a daemon */
+	ACT_READ,      /**< how to read the platform */
 	ACT_LOG,       /**< a decision line */
 	ACT_MAX,
 } act_kind_t;
@@ -232,6 +310,9 @@
 	DEC_LEAVING,	  /**< a server takes no more work */
 	DEC_CONFIG,	  /**< a revision was taken or refused */
 	DEC_PAUSE,	  /**< this process was stopped for a time */
+	DEC_HOLDER,	  /**< a daemon for groups of a query */
+	DEC_KEY_HOME,	  /**< a daemon for a request's key */
+	DEC_READ,	  /**< how this daemon reads the platform */
 	DEC_MAX,
 } decision_t;
 
@@ -274,6 +355,13 @@
 			unsigned cap; /**< 0: close all */
 		} pool;
 		conf_t *conf;
+		void *body;
+		struct {
+			str_t to;   /**< peer address */
+			void *body; /**< to be sent as the text, or NULL */
+			peer_msg_t msg;
+		} peer;
+		read_mode_t read;
 		decision_line_t log;
 	};
 } act_t;
@@ -302,6 +390,9 @@
 typedef struct core_params {
 	str_t name; /**< of this daemon */
 	str_t dc;
+	str_t peer;   /**< its peer address */
+	str_t *seeds; /**< peer addresses to ask before there is a list */
+	size_t nseeds;
 	uint64_t seed;
 	policy_t policy;
 	double hedge_quantile; /**< 0 for no hedges */
@@ -346,6 +437,12 @@
 	CNT_LATE,
 	CNT_BUDGET_DENIED,
 	CNT_PAUSES,
+	CNT_PEER_SENT,
+	CNT_PEER_RECEIVED,
+	CNT_FORWARDS,
+	CNT_FORWARDED_GROUPS,
+	CNT_KEYED_AWAY,
+	CNT_KEY_DUPLICATES,
 	CNT_MAX,
 } counter_t;
 
@@ -380,6 +477,9 @@
 	size_t open_queries;
 	size_t open_attempts;
 	size_t nupstreams;
+	size_t nmembers;   /**< daemons on the list */
+	size_t nsuspected; /**< of them, those not heard of for long */
+	read_mode_t read;
 } core_report_t;
 
 /** Fills in the report. */
--- /dev/null
+++ b/core/forward.c
@@ -0,0 +1,524 @@
+/**
+ * @file forward.c
+ * Groups that other daemons hold: one message a holder, parts back, and the
+ * holder's own side of it.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "libcore.h"
+
+/* What one holder was sent for a query. */
+struct forward {
+	uint64_t id;
+	uint64_t qid;
+	unsigned epoch;
+	str_t addr; /* owned */
+	size_t *shards;
+	size_t n;
+	size_t left; /* without a result yet */
+	bool ask;    /* it asks only what the groups can serve */
+};
+
+void forward_free(forward_t *f)
+{
+	if (!f)
+		return;
+	str_free(f->addr);
+	free(f->shards);
+	free(f);
+}
+
+static void log_holder(core_t *c, const query_t *q, str_t addr, size_t n)
+{
+	act_log(c, &(decision_line_t){ .what = DEC_HOLDER,
+				       .why = WHY_FORWARDED,
+				       .qid = q->id,
+				       .service = q->svc->conf->name,
+				       .addr = addr,
+				       .snapshot = q->snapshot,
+				       .n = n });
+}
+
+/* How little a holder is wanted: the lowest is chosen. */
+static unsigned cost_of(const core_t *c, const holder_t *h, uint64_t tried,
+			size_t i, usec_t now)
+{
+	unsigned cost = h->near ? 0 : 1;
+
+	if (peer_suspect(c, h->addr, now))
+		cost += 2;
+	if (tried >> i & 1)
+		cost += 4;
+	return cost;
+}
+
+/* The place of a holder in the block; n if there is none. */
+static size_t choose(core_t *c, const block_t *b, uint64_t tried, usec_t now)
+{
+	unsigned low = 0, cost;
+	size_t best = b->n;
+	size_t first, at, i;
+
+	if (b->n == 0)
+		return 0;
+	first = rng_below(&c->rng, b->n);
+	for (i = 0; i < b->n; i++) {
+		at = (first + i) % b->n;
+		cost = cost_of(c, &b->v[at], tried, at, now);
+		if (best == b->n || cost < low) {
+			low = cost;
+			best = at;
+		}
+	}
+	return best;
+}
+
+static void send(core_t *c, query_t *q, forward_t *f, usec_t now)
+{
+	peer_msg_t *m =
+		peer_send(c, arena_str(&c->scratch, f->addr), PEER_FORWARD);
+	act_t *act = &c->acts->v[c->acts->n - 1];
+	size_t i;
+
+	act->peer.body = q->body;
+	m->token = f->id;
+	m->service = q->svc->conf->name;
+	m->class_name = q->class->name;
+	m->left = q->deadline - now - LINK_ALLOWANCE;
+	m->limit = q->limit;
+	m->map = q->svc->conf->map;
+	m->snapshot = q->snapshot;
+	m->groups = arena_alloc(&c->scratch, f->n * sizeof(*m->groups));
+	m->ngroups = f->n;
+	for (i = 0; i < f->n; i++)
+		m->groups[i] = q->shards[f->shards[i]].group->name;
+	c->counters[CNT_FORWARDS]++;
+	c->counters[CNT_FORWARDED_GROUPS] += f->n;
+	peer_asked(c, f->addr, now);
+	log_holder(c, q, m->service, f->n);
+}
+
+/* Sends every shard of a block that waits for a holder to one of them. */
+static void forward_block(core_t *c, query_t *q, size_t block, usec_t now)
+{
+	const block_t *b = &q->svc->blocks[block];
+	forward_t *f = xcalloc(1, sizeof(*f));
+	uint64_t tried = 0;
+	size_t at, i;
+
+	f->shards = xcalloc(q->nshards, sizeof(*f->shards));
+	for (i = 0; i < q->nshards; i++)
+		if (q->shards[i].block == block &&
+		    q->shards[i].state == SH_IDLE) {
+			tried |= q->shards[i].holders_tried;
+			f->shards[f->n++] = i;
+		}
+	at = choose(c, b, tried, now);
+	if (f->n == 0 || at == b->n) {
+		forward_free(f);
+		return;
+	}
+	f->id = idmap_add(&c->forwards, f);
+	f->qid = q->id;
+	f->epoch = q->epoch;
+	f->addr = str_dup(b->v[at].addr);
+	f->left = f->n;
+	for (i = 0; i < f->n; i++) {
+		q->shards[f->shards[i]].state = SH_FORWARDED;
+		q->shards[f->shards[i]].holders_tried |= 1ULL << at;
+	}
+	f->ask = q->snapshot == 0;
+	if (f->ask)
+		q->nasks++;
+	else
+		q->nout++;
+	q->forwards = xrealloc(q->forwards,
+			       (q->nforwards + 1) * sizeof(*q->forwards));
+	q->forwards[q->nforwards++] = f->id;
+	send(c, q, f, now);
+	if (q->class->idempotent && !f->ask)
+		timer_arm(c,
+			  (timer_entry_t){ .at = now + (q->deadline - now) / 2,
+					   .kind = TM_FORWARD,
+					   .qid = q->id,
+					   .aid = f->id,
+					   .epoch = q->epoch });
+}
+
+void forward_start(core_t *c, query_t *q, usec_t now)
+{
+	size_t b;
+
+	for (b = 0; b < q->svc->nblocks; b++)
+		if (!q->svc->blocks[b].mine)
+			forward_block(c, q, b, now);
+}
+
+/* A forward without a snapshot asks only what the groups can serve. */
+bool forward_ask(core_t *c, query_t *q, usec_t now)
+{
+	size_t i;
+	bool any = false;
+
+	for (i = 0; i < q->nshards; i++) {
+		shard_t *sh = &q->shards[i];
+
+		if (q->svc->blocks[sh->block].mine || sh->state != SH_IDLE)
+			continue;
+		any = true;
+	}
+	if (any)
+		forward_start(c, q, now);
+	return any;
+}
+
+static group_t *group_named(const svc_t *s, str_t name)
+{
+	size_t i;
+
+	for (i = 0; i < s->ngroups; i++)
+		if (str_eq(s->groups[i]->name, name))
+			return s->groups[i];
+	return NULL;
+}
+
+static bool tried_all(const query_t *q, const shard_t *sh)
+{
+	size_t n = q->svc->blocks[sh->block].n;
+
+	return (size_t)__builtin_popcountll(sh->holders_tried) >= n;
+}
+
+static void give_back(core_t *c, query_t *q, shard_t *sh, usec_t now)
+{
+	if (tried_all(q, sh)) {
+		shard_give_up(c, sh, WHY_NO_SERVER, now);
+		return;
+	}
+	if (now >= q->deadline - LINK_ALLOWANCE) {
+		shard_give_up(c, sh, WHY_DEADLINE, now);
+		return;
+	}
+	sh->state = SH_IDLE;
+}
+
+static bool was_not_run(result_t r)
+{
+	return r == RES_NOT_SENT || r == RES_SHED || r == RES_MISS;
+}
+
+static void note_held(group_t *g, const peer_part_t *p)
+{
+	size_t i;
+
+	if (!g || p->nheld == 0)
+		return;
+	g->nheld = p->nheld;
+	for (i = 0; i < p->nheld; i++)
+		g->held[i] = p->held[i];
+}
+
+/* Takes one group's result; true if the query started over or ended. */
+static bool take_part(core_t *c, query_t *q, shard_t *sh, peer_part_t *p,
+		      usec_t now)
+{
+	unsigned epoch = q->epoch;
+	result_t r = (result_t)p->result;
+
+	if (!was_not_run(r))
+		q->ran = true;
+	if (shard_over(sh))
+		return false;
+	if (r == RES_OK && p->part) {
+		shard_take(c, sh, p->part, now);
+		p->part = NULL;
+	} else if (r == RES_MISS) {
+		if (!query_restart(c, q, now))
+			shard_give_up(c, sh, WHY_NO_SNAPSHOT, now);
+	} else if (was_not_run(r) || q->class->idempotent) {
+		give_back(c, q, sh, now);
+	} else {
+		shard_give_up(c, sh, WHY_LOST, now);
+	}
+	return q->over || q->epoch != epoch;
+}
+
+static shard_t *shard_of(query_t *q, const forward_t *f, str_t group)
+{
+	size_t i;
+
+	for (i = 0; i < f->n; i++)
+		if (str_eq(q->shards[f->shards[i]].group->name, group))
+			return &q->shards[f->shards[i]];
+	return NULL;
+}
+
+static void take_parts(core_t *c, query_t *q, forward_t *f, peer_msg_t *m,
+		       usec_t now)
+{
+	unsigned epoch = f->epoch;
+	shard_t *sh;
+	size_t i;
+
+	for (i = 0; i < m->nparts; i++) {
+		sh = shard_of(q, f, m->parts[i].group);
+		if (sh && take_part(c, q, sh, &m->parts[i], now))
+			return;
+	}
+	/* What came back without an answer goes to another holder. */
+	if (!q->over && q->epoch == epoch && q->snapshot)
+		forward_start(c, q, now);
+}
+
+static void free_parts(peer_msg_t *m)
+{
+	size_t i;
+
+	for (i = 0; i < m->nparts; i++) {
+		part_free(m->parts[i].part);
+		m->parts[i].part = NULL;
+	}
+}
+
+static void forward_end(core_t *c, query_t *q, forward_t *f)
+{
+	if (q && f->ask)
+		q->nasks--;
+	else if (q)
+		q->nout--;
+	idmap_del(&c->forwards, f->id);
+	forward_free(f);
+}
+
+/* Counts a message's parts; whether the holder has told all. */
+static bool is_last(forward_t *f, const peer_msg_t *m)
+{
+	bool last = m->nparts >= f->left;
+
+	f->left -= last ? f->left : m->nparts;
+	return last;
+}
+
+static void take_ask(core_t *c, query_t *q, forward_t *f, usec_t now)
+{
+	forward_end(c, q, f);
+	if (q->nasks == 0)
+		query_repin(c, q, now);
+}
+
+static bool is_current(const query_t *q, const forward_t *f,
+		       const peer_msg_t *m)
+{
+	return f->epoch == q->epoch && m->snapshot == q->snapshot &&
+	       m->map == q->svc->conf->map;
+}
+
+void forward_parts(core_t *c, peer_msg_t *m, usec_t now)
+{
+	forward_t *f = idmap_get(&c->forwards, m->token);
+	query_t *q = f ? idmap_get(&c->queries, f->qid) : NULL;
+	forward_t copy;
+	bool last;
+	size_t i;
+
+	if (!f || !q || q->over) {
+		c->counters[CNT_LATE]++;
+		goto out;
+	}
+	for (i = 0; i < m->nparts; i++)
+		note_held(group_named(q->svc, m->parts[i].group), &m->parts[i]);
+	last = is_last(f, m);
+	if (f->ask) {
+		if (last)
+			take_ask(c, q, f, now);
+		goto out;
+	}
+	/* Taking parts may end the query and all its forwards. */
+	copy = *f;
+	copy.shards = arena_alloc(&c->scratch, f->n * sizeof(*f->shards));
+	memcpy(copy.shards, f->shards, f->n * sizeof(*f->shards));
+	if (last)
+		forward_end(c, q, f);
+	if (is_current(q, &copy, m))
+		take_parts(c, q, &copy, m, now);
+out:
+	free_parts(m);
+}
+
+void forward_failed(core_t *c, uint64_t token, usec_t now)
+{
+	forward_t *f = idmap_get(&c->forwards, token);
+	query_t *q = f ? idmap_get(&c->queries, f->qid) : NULL;
+	size_t i;
+
+	if (!q || q->over)
+		return;
+	for (i = 0; f->epoch == q->epoch && i < f->n; i++)
+		if (q->shards[f->shards[i]].state == SH_FORWARDED)
+			give_back(c, q, &q->shards[f->shards[i]], now);
+	f = idmap_get(&c->forwards, token);
+	if (f)
+		forward_end(c, q, f);
+	if (!q->over && q->snapshot)
+		forward_start(c, q, now);
+}
+
+/* The holder may be gone: another is asked as well, within the budget. */
+void forward_timer(core_t *c, const timer_entry_t *t, usec_t now)
+{
+	forward_t *f = idmap_get(&c->forwards, t->aid);
+	query_t *q = f ? idmap_get(&c->queries, f->qid) : NULL;
+	size_t i;
+
+	if (!q || q->over || f->epoch != q->epoch || q->snapshot == 0)
+		return;
+	if (!budget_take(&q->svc->state->retry)) {
+		c->counters[CNT_BUDGET_DENIED]++;
+		return;
+	}
+	for (i = 0; i < f->n; i++)
+		if (q->shards[f->shards[i]].state == SH_FORWARDED)
+			q->shards[f->shards[i]].state = SH_IDLE;
+	forward_start(c, q, now);
+}
+
+void forward_drop(core_t *c, query_t *q)
+{
+	forward_t *f;
+	size_t i;
+
+	for (i = 0; i < q->nforwards; i++) {
+		f = idmap_get(&c->forwards, q->forwards[i]);
+		if (!f)
+			continue;
+		/* It may be running there, and no word will be heard. */
+		q->ran |= !f->ask;
+		forward_end(c, q, f);
+	}
+	free(q->forwards);
+	q->forwards = NULL;
+	q->nforwards = 0;
+}
+
+/* The holder's side. */
+
+/* What the usable servers of a group hold, the newest first. */
+static void fill_held(const group_t *g, uint32_t map, peer_part_t *p)
+{
+	const evidence_t *e;
+	size_t i, j, k;
+
+	for (i = 0; i < g->nups; i++) {
+		e = &g->ups[i]->evidence;
+		if (!upstream_alive(g->ups[i]) || !e->valid)
+			continue;
+		for (j = 0; j < e->nheld; j++) {
+			for (k = 0; k < p->nheld; k++)
+				if (p->held[k].snapshot == e->held[j].snapshot)
+					break;
+			if (k < p->nheld || p->nheld == CORE_MAX_HELD ||
+			    e->held[j].map != map)
+				continue;
+			p->held[p->nheld++] = e->held[j];
+		}
+	}
+}
+
+static void refuse(core_t *c, const peer_msg_t *m, const svc_t *s)
+{
+	peer_msg_t *r =
+		peer_send(c, arena_str(&c->scratch, m->reply_to), PEER_PARTS);
+	const group_t *g;
+	size_t i;
+
+	r->token = m->token;
+	r->map = m->map;
+	r->snapshot = m->snapshot;
+	r->nparts = m->ngroups;
+	r->parts = arena_alloc(&c->scratch, m->ngroups * sizeof(*r->parts));
+	for (i = 0; i < m->ngroups; i++) {
+		r->parts[i].group = arena_str(&c->scratch, m->groups[i]);
+		r->parts[i].result = RES_MISS;
+		g = s ? group_named(s, m->groups[i]) : NULL;
+		if (g)
+			fill_held(g, s->conf->map, &r->parts[i]);
+	}
+}
+
+static bool find_groups(const svc_t *s, const peer_msg_t *m, group_t **groups)
+{
+	size_t i;
+
+	for (i = 0; i < m->ngroups; i++) {
+		groups[i] = group_named(s, m->groups[i]);
+		if (!groups[i])
+			return false;
+	}
+	return m->ngroups > 0;
+}
+
+void forward_request(core_t *c, event_t *ev, usec_t now)
+{
+	const peer_msg_t *m = ev->peer.msg;
+	request_t r = { .service = m->service,
+			.class_name = m->class_name,
+			.route = STR("forwarded"),
+			.deadline = m->left > 0 ? m->left : 1,
+			.limit = (unsigned)m->limit,
+			.body = ev->peer.body };
+	group_t **groups = xcalloc(m->ngroups, sizeof(*groups));
+	const conf_class_t *class = NULL;
+	const svc_t *svc = NULL;
+	query_t *q;
+
+	if (query_admit(c, &r, &svc, &class) != WHY_NONE || m->snapshot == 0 ||
+	    svc->conf->map != m->map || !find_groups(svc, m, groups)) {
+		refuse(c, m, svc);
+		act_add(c, ACT_BODY_DROP)->body = ev->peer.body;
+		goto out;
+	}
+	q = query_new(c, &r, svc, class, now);
+	q->origin = FROM_PEER;
+	q->owns_body = true;
+	q->reply_to = str_dup(m->reply_to);
+	q->token = m->token;
+	q->snapshot = m->snapshot;
+	query_run_groups(c, q, groups, m->ngroups, now);
+out:
+	free(groups);
+}
+
+static result_t result_of(const query_t *q, const shard_t *sh)
+{
+	if (sh->state == SH_DONE)
+		return RES_OK;
+	if (sh->state == SH_FAILED && sh->why == WHY_NO_SNAPSHOT)
+		return RES_MISS;
+	return q->ran || q->nout ? RES_LOST : RES_NOT_SENT;
+}
+
+void forward_report(core_t *c, query_t *q, bool last)
+{
+	peer_msg_t *m;
+	size_t i;
+
+	m = peer_send(c, arena_str(&c->scratch, q->reply_to), PEER_PARTS);
+	m->token = q->token;
+	m->map = q->svc->conf->map;
+	m->snapshot = q->snapshot;
+	m->parts = arena_alloc(&c->scratch, q->nshards * sizeof(*m->parts));
+	for (i = 0; i < q->nshards; i++) {
+		shard_t *sh = &q->shards[i];
+		peer_part_t *p = &m->parts[m->nparts];
+
+		if (sh->reported || (!last && sh->state != SH_DONE))
+			continue;
+		sh->reported = true;
+		p->group = sh->group->name;
+		p->result = result_of(q, sh);
+		p->part = sh->part;
+		fill_held(sh->group, q->svc->conf->map, p);
+		m->nparts++;
+	}
+}
--- /dev/null
+++ b/core/holder.c
@@ -0,0 +1,118 @@
+/**
+ * @file holder.c
+ * Which daemons connect to which groups: the best few by rendezvous hash
+ * over the published list, the same for all groups of a block.
+ */
+#include "libcore.h"
+
+uint64_t holder_score(uint64_t id, uint64_t hash)
+{
+	rng_t r = { .state = id ^ hash };
+
+	return rng_next(&r);
+}
+
+const member_t *holder_of_hash(const host_list_t *l, uint64_t hash)
+{
+	const member_t *best = NULL;
+	uint64_t high = 0, score;
+	size_t i;
+
+	for (i = 0; i < l->ndaemons; i++) {
+		if (l->daemons[i].leaving)
+			continue;
+		score = holder_score(l->daemons[i].id, hash);
+		if (!best || score > high) {
+			best = &l->daemons[i];
+			high = score;
+		}
+	}
+	return best;
+}
+
+/* The best k of the list, by insertion. */
+static size_t best_of(const host_list_t *l, uint64_t hash, size_t k,
+		      const member_t **best)
+{
+	uint64_t scores[HOLDERS_MAX];
+	uint64_t score;
+	size_t n = 0, i, j;
+
+	for (i = 0; i < l->ndaemons; i++) {
+		if (l->daemons[i].leaving)
+			continue;
+		score = holder_score(l->daemons[i].id, hash);
+		if (n == k && score <= scores[n - 1])
+			continue;
+		if (n < k)
+			n++;
+		for (j = n - 1; j > 0 && scores[j - 1] < score; j--) {
+			scores[j] = scores[j - 1];
+			best[j] = best[j - 1];
+		}
+		scores[j] = score;
+		best[j] = &l->daemons[i];
+	}
+	return n;
+}
+
+static void assign_block(core_t *c, view_t *v, svc_t *s, size_t b)
+{
+	const member_t *best[HOLDERS_MAX];
+	block_t *block = &s->blocks[b];
+	size_t k = s->conf->holders;
+	size_t n, i;
+
+	*block = (block_t){ 0 };
+	/* A fleet no larger than k has every daemon connect to all. */
+	if (k == 0 || k >= HOLDERS_MAX) {
+		block->mine = true;
+		return;
+	}
+	n = best_of(&c->board.list.list, str_hash(s->conf->name, b + 1), k,
+		    best);
+	for (i = 0; i < n; i++) {
+		if (str_eq(best[i]->name, c->name)) {
+			block->mine = true;
+			continue;
+		}
+		block->v[block->n++] = (holder_t){
+			.addr = arena_str(&v->holder_mem, best[i]->peer),
+			.near = str_eq(best[i]->dc, c->dc),
+		};
+	}
+}
+
+/* Connections follow the blocks that this daemon holds. */
+static void set_caps(core_t *c, const view_t *v, const svc_t *s)
+{
+	unsigned cap = conf_share(v->conf, s->conf);
+	const group_t *g;
+	size_t i, j;
+
+	(void)c;
+	for (i = 0; i < s->ngroups; i++) {
+		g = s->groups[i];
+		for (j = 0; j < g->nups; j++)
+			g->ups[j]->cap = holder_is_self(s, i) ? cap : 0;
+	}
+}
+
+void holder_assign(core_t *c, view_t *v)
+{
+	size_t i, b;
+	svc_t *s;
+
+	arena_free(&v->holder_mem);
+	for (i = 0; i < v->nsvcs; i++) {
+		s = &v->svcs[i];
+		for (b = 0; b < s->nblocks; b++)
+			assign_block(c, v, s, b);
+		set_caps(c, v, s);
+	}
+}
+
+bool holder_is_self(const svc_t *s, size_t group)
+{
+	return s->blocks[group / HOLDER_BLOCK].mine;
+}
--- a/core/libcore.h
+++ b/core/libcore.h
@@ -9,6 +9,21 @@
 #define QUERY_MAX_RESTARTS 6
 #define UPSTREAM_MIN_LIMIT 1.0
 
+#define GOSSIP_PERIOD (500 * USEC_PER_MSEC)
+#define GOSSIP_FANOUT 2
+#define NEWS_FANOUT 3
+#define PEER_SUSPECT_AFTER (3 * USEC_PER_SEC)
+#define READERS_PER_DC 2
+#define VOLUNTEER_AFTER (1200 * USEC_PER_MSEC)
+#define VOLUNTEERS_PER_SEC 100.0 /* of the whole fleet */
+#define KEY_LIFETIME (5 * USEC_PER_SEC)
+#define LIST_LAG (3 * USEC_PER_SEC)
+#define KEY_WAIT (KEY_LIFETIME + LIST_LAG)
+#define LIST_HISTORY 8
+#define HOLDERS_MAX 16
+#define HOLDER_BLOCK 36 /* groups of a service placed together */
+#define LINK_ALLOWANCE (5 * USEC_PER_MSEC)
+
 #define TICK_PERIOD (50 * USEC_PER_MSEC)
 #define PAUSE_GAP (600 * USEC_PER_MSEC)
 #define LIST_LEASE (2 * USEC_PER_SEC)
@@ -74,9 +89,10 @@
 /* A shard of a query; waits in its group's queue when no slot is free. */
 typedef enum shard_state {
 	SH_IDLE,
-	SH_WAITING, /* in the group's queue */
-	SH_OUT,	    /* one or more attempts are out */
-	SH_BACKOFF, /* a timer will start it again */
+	SH_WAITING,   /* in the group's queue */
+	SH_OUT,	      /* one or more attempts are out */
+	SH_BACKOFF,   /* a timer will start it again */
+	SH_FORWARDED, /* a holder has it */
 	SH_DONE,
 	SH_FAILED,
 } shard_state_t;
@@ -89,9 +105,12 @@
 	unsigned nlive;
 	unsigned tries;
 	unsigned backoffs;
-	uint64_t tried;	 /* bits of the group's servers */
-	uint64_t missed; /* bits of those without the snapshot */
-	why_t why;	 /* of the last failure */
+	uint64_t tried;		/* bits of the group's servers */
+	uint64_t missed;	/* bits of those without the snapshot */
+	uint64_t holders_tried; /* bits of the block's holders */
+	size_t block;		/* of its service */
+	bool reported;		/* to the daemon that forwarded it */
+	why_t why;		/* of the last failure */
 	part_t *part;
 	struct shard *prev; /* in the group's queue */
 	struct shard *next;
@@ -110,6 +129,8 @@
 	unsigned refs; /* views that name it */
 	uint64_t turn; /* for round robin */
 	hist_t latency;
+	size_t nheld; /* as a holder told of it */
+	holding_t held[CORE_MAX_HELD];
 };
 
 /* Part of first attempts that may be added as retries or hedges. */
@@ -117,12 +138,27 @@
 	double tokens;
 } budget_t;
 
+/* A daemon that connects to a block of groups. */
+typedef struct holder {
+	str_t addr;
+	bool near;
+} holder_t;
+
+/* Groups of a service that have the same holders. */
+typedef struct block {
+	bool mine; /* this daemon is one of them, or all are */
+	size_t n;
+	holder_t v[HOLDERS_MAX]; /* the others */
+} block_t;
+
 /* A service of one view. */
 typedef struct svc {
 	const conf_service_t *conf;
 	group_t **groups;
 	size_t ngroups;
 	struct svc_state *state;
+	block_t *blocks;
+	size_t nblocks;
 } svc_t;
 
 /* What a service keeps over revisions. */
@@ -138,16 +174,28 @@
 	svc_t *svcs;
 	size_t nsvcs;
 	unsigned refs;
+	arena_t holder_mem;
 } view_t;
 
+/* Who waits for a query's answer. */
+typedef enum origin { FROM_CALLER, FROM_KEY, FROM_PEER } origin_t;
+
 typedef struct query {
 	uint64_t id;
 	view_t *view;
 	const svc_t *svc;
 	const conf_class_t *class;
+	origin_t origin;
 	void *body;
-	void *caller;
-	str_t route; /* owned */
+	bool owns_body;	     /* it came from a peer */
+	void *caller;	     /* of FROM_CALLER */
+	struct keyed *keyed; /* of FROM_KEY */
+	str_t reply_to;	     /* owned; of FROM_PEER */
+	uint64_t token;	     /* of FROM_PEER */
+	uint64_t *forwards;  /* ids of what holders were sent */
+	size_t nforwards;
+	size_t nasks; /* of them, those that only ask what is held */
+	str_t route;  /* owned */
 	unsigned limit;
 	usec_t arrived;
 	usec_t deadline;
@@ -191,6 +239,8 @@
 	TM_HEDGE,
 	TM_BACKOFF,
 	TM_REPIN,
+	TM_FORWARD,  /* a holder has not answered for long */
+	TM_KEY_AWAY, /* a key's home has not answered in time */
 } timer_kind_t;
 
 typedef struct timer {
@@ -223,6 +273,39 @@
 	usec_t woke_at;
 } board_list_t;
 
+/* A daemon as this one believes it to be. */
+typedef struct peer {
+	str_t addr;	 /* owned; its peer address */
+	usec_t heard_at; /* 0: never */
+	usec_t asked_at; /* first question without a word since, or 0 */
+} peer_t;
+
+/* Section written by peer.c. */
+typedef struct board_peers {
+	peer_t *v; /* ordered by address */
+	size_t n;
+	usec_t gossip_at; /* next digest is due */
+	usec_t read_at;	  /* last change of the mode of reading */
+	read_mode_t read;
+	unsigned told; /* replies to digests since the start */
+} board_peers_t;
+
+/* Daemons of an earlier list, by id. */
+typedef struct old_list {
+	uint64_t *ids;
+	size_t n;
+	usec_t until; /* when it was replaced */
+} old_list_t;
+
+/* Section written by key.c. */
+typedef struct board_keys {
+	struct keyed **v; /* executed here */
+	size_t n;
+	usec_t started_at;
+	old_list_t old[LIST_HISTORY];
+	size_t nold;
+} board_keys_t;
+
 /* Section written by upstream.c. */
 typedef struct board_upstreams {
 	upstream_t **v;
@@ -235,6 +318,8 @@
 	board_conf_t conf;
 	board_list_t list;
 	board_upstreams_t upstreams;
+	board_peers_t peers;
+	board_keys_t keys;
 } board_t;
 
 struct core {
@@ -245,6 +330,8 @@
 	board_t board;
 	idmap_t queries;
 	idmap_t attempts;
+	idmap_t waits;	  /* requests that wait for a key's home */
+	idmap_t forwards; /* parts that wait for a holder */
 	timer_entry_t *timers;
 	size_t ntimers;
 	size_t timer_room;
@@ -252,8 +339,9 @@
 	usec_t last_step;
 	bool stopping;
 	uint64_t counters[CNT_MAX];
-	acts_t *acts;	/* of the present step */
-	query_t **over; /* answered; freed when the next step begins */
+	acts_t *acts;	 /* of the present step */
+	arena_t scratch; /* what its actions point to, until the next step */
+	query_t **over;	 /* answered; freed when the next step begins */
 	size_t nover;
 	size_t over_room;
 	view_t **old_views; /* let go of when the next step begins */
@@ -311,8 +399,7 @@
 void pick_replica(core_t *c, const shard_t *sh, usec_t now, pick_t *p);
 
 /* snapshot.c */
-uint64_t snapshot_pin(const svc_t *s, group_t *const *groups, size_t ngroups,
-		      const uint64_t *given_up, size_t ngiven_up);
+uint64_t snapshot_pin(const query_t *q);
 
 /* list.c */
 void list_take(core_t *c, const host_list_t *l, usec_t at, usec_t now);
@@ -327,6 +414,8 @@
 void view_unref(core_t *c, view_t *v);
 /* Lets go of it when the next step begins. */
 void view_unref_later(core_t *c, view_t *v);
+/* Finds the holders anew, after a change of list or configuration. */
+void view_holders(core_t *c);
 void view_free_all(core_t *c);
 
 /* queue.c */
@@ -344,6 +433,10 @@
 void shard_detach(core_t *c, shard_t *sh);
 /* Detaches it and frees the part. */
 void shard_drop(core_t *c, shard_t *sh);
+/* Takes a part that came by way of a holder. */
+void shard_take(core_t *c, shard_t *sh, part_t *part, usec_t now);
+/* The group will be missing. */
+void shard_give_up(core_t *c, shard_t *sh, why_t why, usec_t now);
 /* Done or failed. */
 bool shard_over(const shard_t *sh);
 
@@ -355,11 +448,75 @@
 
 /* query.c */
 void query_start(core_t *c, const request_t *r, usec_t now);
+/* The reason to turn a request away, or WHY_NONE with both filled in. */
+why_t query_admit(const core_t *c, const request_t *r, const svc_t **svc,
+		  const conf_class_t **class);
+/* Answers a request that no query was made for. */
+void query_reject(core_t *c, const request_t *r, why_t why);
+/* Makes a query; its origin is to be set before query_run(). */
+query_t *query_new(core_t *c, const request_t *r, const svc_t *svc,
+		   const conf_class_t *class, usec_t now);
+void query_run(core_t *c, query_t *q, usec_t now);
+/* Pins nothing: for groups that another daemon chose and pinned. */
+void query_run_groups(core_t *c, query_t *q, group_t **groups, size_t n,
+		      usec_t now);
 void query_check(core_t *c, query_t *q, usec_t now);
 /* Starts over on another snapshot; false if that may not be. */
 bool query_restart(core_t *c, query_t *q, usec_t now);
+/* Looks again for a snapshot that servers hold. */
+void query_repin(core_t *c, query_t *q, usec_t now);
 void query_timer(core_t *c, const timer_entry_t *t, usec_t now);
 
+/* holder.c */
+void holder_assign(core_t *c, view_t *v);
+bool holder_is_self(const svc_t *s, size_t group);
+/* The daemon a key belongs to by the list; NULL without a list. */
+const member_t *holder_of_hash(const host_list_t *l, uint64_t hash);
+uint64_t holder_score(uint64_t id, uint64_t hash);
+
+/* peer.c */
+void peer_start(core_t *c, usec_t now);
+void peer_tick(core_t *c, usec_t now);
+void peer_message(core_t *c, event_t *ev, usec_t now);
+/* Tells a few daemons at once that there is news. */
+void peer_news(core_t *c);
+/* Begins a message from this daemon. */
+peer_msg_t *peer_send(core_t *c, str_t to, peer_kind_t kind);
+/* Notes that an answer is awaited from it. */
+void peer_asked(core_t *c, str_t addr, usec_t now);
+bool peer_suspect(const core_t *c, str_t addr, usec_t now);
+/* Whether most daemons that were asked lately answered. */
+bool peer_agreement(const core_t *c, usec_t now);
+size_t peer_count_suspects(const core_t *c, usec_t now);
+void peer_free(core_t *c);
+
+/* forward.c */
+/* Sends the shards that wait for a holder to their holders. */
+void forward_start(core_t *c, query_t *q, usec_t now);
+/* Asks holders what groups can serve, for a query without a snapshot. */
+bool forward_ask(core_t *c, query_t *q, usec_t now);
+void forward_request(core_t *c, event_t *ev, usec_t now);
+void forward_parts(core_t *c, peer_msg_t *m, usec_t now);
+void forward_failed(core_t *c, uint64_t token, usec_t now);
+void forward_timer(core_t *c, const timer_entry_t *t, usec_t now);
+/* Tells the daemon that forwarded it what is known by now. */
+void forward_report(core_t *c, query_t *q, bool last);
+void forward_drop(core_t *c, query_t *q);
+typedef struct forward forward_t;
+void forward_free(forward_t *f);
+
+/* key.c */
+void key_start(core_t *c, const request_t *r, const svc_t *svc,
+	       const conf_class_t *class, usec_t now);
+void key_request(core_t *c, event_t *ev, usec_t now);
+void key_answer(core_t *c, peer_msg_t *m, usec_t now);
+void key_failed(core_t *c, uint64_t token, usec_t now);
+void key_timer(core_t *c, const timer_entry_t *t, usec_t now);
+void key_done(core_t *c, query_t *q, const answer_t *a, usec_t now);
+void key_tick(core_t *c, usec_t now);
+void key_list_changes(core_t *c, usec_t now);
+void key_free(core_t *c);
+
 /* merge.c */
 size_t merge_parts(query_t *q);
 
--- a/core/list.c
+++ b/core/list.c
@@ -17,6 +17,7 @@
 		m->dc = arena_str(&b->mem, l->daemons[i].dc);
 		m->peer = arena_str(&b->mem, l->daemons[i].peer);
 		m->leaving = l->daemons[i].leaving;
+		m->id = str_hash(m->name, 0);
 	}
 	b->list.nleaving = l->nleaving;
 	b->list.leaving =
@@ -75,6 +76,14 @@
 	}
 }
 
+static void replace(core_t *c, const host_list_t *l, usec_t now)
+{
+	key_list_changes(c, now);
+	copy_list(&c->board.list, l);
+	view_holders(c);
+	peer_news(c);
+}
+
 void list_take(core_t *c, const host_list_t *l, usec_t at, usec_t now)
 {
 	board_list_t *b = &c->board.list;
@@ -83,7 +92,7 @@
 	if (l->version < b->list.version)
 		return;
 	if (l->version > b->list.version)
-		copy_list(b, l);
+		replace(c, l, now);
 	confirm(c, at);
 	list_apply_leaving(c, now);
 	return_to_work(c);
--- /dev/null
+++ b/core/peer.c
@@ -0,0 +1,358 @@
+/**
+ * @file peer.c
+ * What daemons tell each other: digests to a few at random, so that news and
+ * the age of the list spread; and which daemons read the platform.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "libcore.h"
+
+typedef void (*peer_fn_t)(core_t *c, event_t *ev, usec_t now);
+
+static void on_digest(core_t *c, event_t *ev, usec_t now);
+static void on_digest_reply(core_t *c, event_t *ev, usec_t now);
+static void on_pull(core_t *c, event_t *ev, usec_t now);
+static void on_list_pull(core_t *c, event_t *ev, usec_t now);
+static void on_list(core_t *c, event_t *ev, usec_t now);
+static void on_answer(core_t *c, event_t *ev, usec_t now);
+static void on_parts(core_t *c, event_t *ev, usec_t now);
+
+/* A delta is applied by the daemon; it comes back as EV_CONF. */
+static const peer_fn_t handlers[PEER_MAX] = {
+	[PEER_DIGEST] = on_digest, [PEER_DIGEST_REPLY] = on_digest_reply,
+	[PEER_PULL] = on_pull,	   [PEER_LIST_PULL] = on_list_pull,
+	[PEER_LIST] = on_list,	   [PEER_KEYED] = key_request,
+	[PEER_ANSWER] = on_answer, [PEER_FORWARD] = forward_request,
+	[PEER_PARTS] = on_parts,
+};
+
+static size_t place(const board_peers_t *b, str_t addr, bool *found)
+{
+	size_t lo = 0, hi = b->n, mid;
+	int r;
+
+	*found = false;
+	while (lo < hi) {
+		mid = (lo + hi) / 2;
+		r = str_cmp(b->v[mid].addr, addr);
+		if (r == 0) {
+			*found = true;
+			return mid;
+		}
+		if (r < 0)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo;
+}
+
+static peer_t *peer_get(core_t *c, str_t addr)
+{
+	board_peers_t *b = &c->board.peers;
+	bool found;
+	size_t i = place(b, addr, &found);
+
+	if (found)
+		return &b->v[i];
+	b->v = xrealloc(b->v, (b->n + 1) * sizeof(*b->v));
+	memmove(&b->v[i + 1], &b->v[i], (b->n - i) * sizeof(*b->v));
+	b->n++;
+	b->v[i] = (peer_t){ .addr = str_dup(addr) };
+	return &b->v[i];
+}
+
+static const peer_t *peer_find(const core_t *c, str_t addr)
+{
+	bool found;
+	size_t i = place(&c->board.peers, addr, &found);
+
+	return found ? &c->board.peers.v[i] : NULL;
+}
+
+static uint64_t revision_of(const core_t *c)
+{
+	const view_t *v = c->board.conf.view;
+
+	return v ? v->conf->revision : 0;
+}
+
+peer_msg_t *peer_send(core_t *c, str_t to, peer_kind_t kind)
+{
+	act_t *a = act_add(c, ACT_PEER);
+
+	c->counters[CNT_PEER_SENT]++;
+	a->peer.to = to;
+	a->peer.msg.kind = kind;
+	a->peer.msg.from = c->name;
+	a->peer.msg.reply_to = c->params.peer;
+	return &a->peer.msg;
+}
+
+void peer_asked(core_t *c, str_t addr, usec_t now)
+{
+	peer_t *p = peer_get(c, addr);
+
+	if (p->asked_at == 0)
+		p->asked_at = now;
+}
+
+bool peer_suspect(const core_t *c, str_t addr, usec_t now)
+{
+	const peer_t *p = peer_find(c, addr);
+
+	return p && p->asked_at && now - p->asked_at > PEER_SUSPECT_AFTER;
+}
+
+size_t peer_count_suspects(const core_t *c, usec_t now)
+{
+	size_t n = 0, i;
+
+	for (i = 0; i < c->board.peers.n; i++)
+		n += peer_suspect(c, c->board.peers.v[i].addr, now);
+	return n;
+}
+
+bool peer_agreement(const core_t *c, usec_t now)
+{
+	const board_peers_t *b = &c->board.peers;
+	usec_t since = now - PEER_SUSPECT_AFTER;
+	size_t heard = 0, silent = 0, i;
+
+	for (i = 0; i < b->n; i++) {
+		heard += b->v[i].heard_at > since && b->v[i].heard_at;
+		silent += b->v[i].asked_at &&
+			  now - b->v[i].asked_at > GOSSIP_PERIOD;
+	}
+	return heard > silent;
+}
+
+static void fill_digest(const core_t *c, peer_msg_t *m, usec_t now)
+{
+	const board_list_t *l = &c->board.list;
+
+	m->revision = revision_of(c);
+	m->conf_hash = c->board.conf.view ? c->board.conf.view->conf->hash : 0;
+	m->list_version = l->list.version;
+	m->list_age = l->confirmed_at ? now - l->confirmed_at : -1;
+}
+
+static void send_digest(core_t *c, str_t to, usec_t now)
+{
+	peer_msg_t *m = peer_send(c, to, PEER_DIGEST);
+
+	/* Comes back in the reply: what it tells is no older than this. */
+	m->token = (uint64_t)now;
+	fill_digest(c, m, now);
+	peer_asked(c, to, now);
+}
+
+/* A random daemon of the list but this one, else a seed; empty if none. */
+static str_t random_peer(core_t *c)
+{
+	const host_list_t *l = &c->board.list.list;
+	size_t i;
+
+	if (l->ndaemons > 1) {
+		i = rng_below(&c->rng, l->ndaemons);
+		if (str_eq(l->daemons[i].name, c->name))
+			i = (i + 1) % l->ndaemons;
+		return l->daemons[i].peer;
+	}
+	if (l->ndaemons == 0 && c->params.nseeds)
+		return c->params.seeds[rng_below(&c->rng, c->params.nseeds)];
+	return STR("");
+}
+
+static void gossip(core_t *c, unsigned fanout, usec_t now)
+{
+	str_t to;
+	unsigned i;
+
+	for (i = 0; i < fanout; i++) {
+		to = random_peer(c);
+		if (to.sz)
+			send_digest(c, to, now);
+	}
+}
+
+void peer_news(core_t *c)
+{
+	gossip(c, NEWS_FANOUT, c->last_step);
+}
+
+static void on_digest(core_t *c, event_t *ev, usec_t now)
+{
+	const peer_msg_t *m = ev->peer.msg;
+	peer_msg_t *r = peer_send(c, m->reply_to, PEER_DIGEST_REPLY);
+
+	r->token = m->token;
+	fill_digest(c, r, now);
+	if (m->revision > revision_of(c))
+		peer_send(c, m->reply_to, PEER_PULL)->revision = revision_of(c);
+	if (m->list_version > c->board.list.list.version)
+		peer_send(c, m->reply_to, PEER_LIST_PULL)->token =
+			(uint64_t)now;
+}
+
+/* Two contents of one revision: each daemon keeps its own, and says so. */
+static void check_same(core_t *c, const peer_msg_t *m)
+{
+	const view_t *v = c->board.conf.view;
+
+	if (v && m->revision == v->conf->revision &&
+	    m->conf_hash != v->conf->hash)
+		act_log(c, &(decision_line_t){ .what = DEC_CONFIG,
+					       .why = WHY_SAME_REVISION,
+					       .addr = m->from,
+					       .n = m->revision });
+}
+
+static void on_digest_reply(core_t *c, event_t *ev, usec_t now)
+{
+	const peer_msg_t *m = ev->peer.msg;
+
+	c->board.peers.told++;
+	check_same(c, m);
+	if (m->revision > revision_of(c))
+		peer_send(c, m->reply_to, PEER_PULL)->revision = revision_of(c);
+	if (m->list_version > c->board.list.list.version)
+		peer_send(c, m->reply_to, PEER_LIST_PULL)->token =
+			(uint64_t)now;
+	else if (m->list_age >= 0)
+		list_same(c, m->list_version, (usec_t)m->token - m->list_age);
+}
+
+/* The daemon fills in the text from its store of sections. */
+static void on_pull(core_t *c, event_t *ev, usec_t now)
+{
+	const peer_msg_t *m = ev->peer.msg;
+
+	(void)now;
+	if (m->revision < revision_of(c))
+		peer_send(c, m->reply_to, PEER_DELTA)->revision = m->revision;
+}
+
+static void on_list_pull(core_t *c, event_t *ev, usec_t now)
+{
+	const peer_msg_t *m = ev->peer.msg;
+	peer_msg_t *r;
+
+	if (c->board.list.list.version == 0)
+		return;
+	r = peer_send(c, m->reply_to, PEER_LIST);
+	r->token = m->token;
+	fill_digest(c, r, now);
+	r->list = c->board.list.list;
+}
+
+static void on_list(core_t *c, event_t *ev, usec_t now)
+{
+	const peer_msg_t *m = ev->peer.msg;
+
+	if (m->list_age >= 0)
+		list_take(c, &m->list, (usec_t)m->token - m->list_age, now);
+	queue_drain_all(c, now);
+}
+
+static void on_answer(core_t *c, event_t *ev, usec_t now)
+{
+	key_answer(c, ev->peer.msg, now);
+}
+
+static void on_parts(core_t *c, event_t *ev, usec_t now)
+{
+	forward_parts(c, ev->peer.msg, now);
+}
+
+static void drop_body(core_t *c, void *body)
+{
+	if (body)
+		act_add(c, ACT_BODY_DROP)->body = body;
+}
+
+void peer_message(core_t *c, event_t *ev, usec_t now)
+{
+	peer_msg_t *m = ev->peer.msg;
+	peer_t *p = peer_get(c, m->reply_to);
+
+	c->counters[CNT_PEER_RECEIVED]++;
+	p->heard_at = now;
+	p->asked_at = 0;
+	if (handlers[m->kind])
+		handlers[m->kind](c, ev, now);
+	else
+		drop_body(c, ev->peer.body);
+}
+
+/* The first few of a data centre by hash watch the platform for it. */
+static bool is_reader(const core_t *c)
+{
+	const host_list_t *l = &c->board.list.list;
+	uint64_t mine = holder_score(str_hash(c->name, 0), 0);
+	size_t better = 0, i;
+
+	for (i = 0; i < l->ndaemons; i++)
+		if (!l->daemons[i].leaving && str_eq(l->daemons[i].dc, c->dc) &&
+		    holder_score(l->daemons[i].id, 0) > mine)
+			better++;
+	return better < READERS_PER_DC;
+}
+
+/* Others read when nobody tells them, so many a second in all. */
+static bool volunteers(core_t *c, usec_t now)
+{
+	const board_list_t *l = &c->board.list;
+	double n = l->list.ndaemons ? (double)l->list.ndaemons : 1;
+	double chance = VOLUNTEERS_PER_SEC / n * TICK_PERIOD / USEC_PER_SEC;
+
+	if (l->confirmed_at && revision_of(c) &&
+	    now - l->confirmed_at < VOLUNTEER_AFTER)
+		return false;
+	return rng_unit(&c->rng) < chance;
+}
+
+static void choose_reading(core_t *c, usec_t now)
+{
+	board_peers_t *b = &c->board.peers;
+	read_mode_t want = READ_OFF;
+
+	if (is_reader(c))
+		want = READ_WATCH;
+	else if (volunteers(c, now))
+		want = READ_ONCE;
+	if (want == b->read && want != READ_ONCE)
+		return;
+	b->read = want;
+	b->read_at = now;
+	act_add(c, ACT_READ)->read = want;
+	act_log(c, &(decision_line_t){
+			   .what = DEC_READ, .why = WHY_CHOSEN, .n = want });
+}
+
+void peer_start(core_t *c, usec_t now)
+{
+	c->board.peers.gossip_at = now;
+}
+
+void peer_tick(core_t *c, usec_t now)
+{
+	board_peers_t *b = &c->board.peers;
+
+	choose_reading(c, now);
+	if (now < b->gossip_at)
+		return;
+	b->gossip_at = now + GOSSIP_PERIOD / 2 +
+		       (usec_t)rng_below(&c->rng, GOSSIP_PERIOD);
+	gossip(c, GOSSIP_FANOUT, now);
+}
+
+void peer_free(core_t *c)
+{
+	size_t i;
+
+	for (i = 0; i < c->board.peers.n; i++)
+		str_free(c->board.peers.v[i].addr);
+	free(c->board.peers.v);
+}
--- a/core/query.c
+++ b/core/query.c
@@ -8,8 +8,7 @@
 static void query_answer(core_t *c, query_t *q, why_t why, usec_t now);
 static void query_end(core_t *c, query_t *q);
 
-/* Answers a request that no query was made for. */
-static void reject(core_t *c, const request_t *r, why_t why)
+void query_reject(core_t *c, const request_t *r, why_t why)
 {
 	act_t *a = act_add(c, ACT_ANSWER);
 
@@ -35,9 +34,8 @@
 	return NULL;
 }
 
-/* The reason to turn a request away, or WHY_NONE with both filled in. */
-static why_t admit(const core_t *c, const request_t *r, const svc_t **svc,
-		   const conf_class_t **class)
+why_t query_admit(const core_t *c, const request_t *r, const svc_t **svc,
+		  const conf_class_t **class)
 {
 	if (c->stopping)
 		return WHY_STOPPING;
@@ -55,33 +53,50 @@
 	return WHY_NONE;
 }
 
-/* Lays out the shards for the query's service; pins the snapshot. */
-static void lay_out(core_t *c, query_t *q)
+static void add_shards(query_t *q, group_t *const *groups, size_t n)
 {
-	group_t *const *groups = q->svc->groups;
-	size_t n = q->svc->ngroups;
-	size_t i;
+	size_t i, j;
 
-	if (q->class->scope == CONF_ONE) {
-		groups += str_hash(q->route, 0) % n;
-		n = 1;
-	}
 	q->nshards = n;
 	q->ndone = 0;
 	q->nfailed = 0;
 	q->shards = xcalloc(n, sizeof(*q->shards));
-	for (i = 0; i < n; i++) {
+	for (i = 0, j = 0; i < n; i++) {
 		q->shards[i].q = q;
 		q->shards[i].group = groups[i];
+		/* Both are in the service's order, but for the first. */
+		if (i == 0 || q->svc->groups[j] != groups[i])
+			for (j = 0; q->svc->groups[j] != groups[i]; j++)
+				;
+		q->shards[i].block = j++ / HOLDER_BLOCK;
+		if (j == q->svc->ngroups)
+			j = 0;
 	}
-	q->snapshot =
-		snapshot_pin(q->svc, groups, n, q->given_up, q->ngiven_up);
+}
+
+static void log_pin(core_t *c, const query_t *q)
+{
 	act_log(c, &(decision_line_t){ .what = DEC_PIN,
 				       .why = WHY_CHOSEN,
 				       .qid = q->id,
 				       .service = q->svc->conf->name,
 				       .snapshot = q->snapshot,
-				       .n = n });
+				       .n = q->nshards });
+}
+
+/* Lays out the shards for the query's service; pins the snapshot. */
+static void lay_out(core_t *c, query_t *q)
+{
+	group_t *const *groups = q->svc->groups;
+	size_t n = q->svc->ngroups;
+
+	if (q->class->scope == CONF_ONE) {
+		groups += str_hash(q->route, 0) % n;
+		n = 1;
+	}
+	add_shards(q, groups, n);
+	q->snapshot = snapshot_pin(q);
+	log_pin(c, q);
 }
 
 static void arm(core_t *c, const query_t *q, timer_kind_t kind, usec_t at)
@@ -92,13 +107,18 @@
 /* None is left to try: look again soon, when servers have told more. */
 static void no_snapshot(core_t *c, query_t *q, usec_t now)
 {
-	if (q->epoch == 0 || q->epoch >= QUERY_MAX_RESTARTS) {
+	bool first = q->epoch == 0;
+
+	if (q->epoch >= QUERY_MAX_RESTARTS) {
 		query_answer(c, q, WHY_NO_SNAPSHOT, now);
 		return;
 	}
 	q->epoch++;
 	q->ngiven_up = 0;
-	arm(c, q, TM_REPIN, now + REPIN_WAIT);
+	if (!forward_ask(c, q, now) && first)
+		query_answer(c, q, WHY_NO_SNAPSHOT, now);
+	else
+		arm(c, q, TM_REPIN, now + REPIN_WAIT);
 }
 
 static void start_shards(core_t *c, query_t *q, usec_t now)
@@ -110,26 +130,31 @@
 		no_snapshot(c, q, now);
 		return;
 	}
+	forward_start(c, q, now);
 	/* Starting one shard may end the query or start it over. */
 	for (i = 0; !q->over && q->epoch == epoch && i < q->nshards; i++)
-		shard_start(c, &q->shards[i], WHY_CHOSEN, now);
+		if (q->svc->blocks[q->shards[i].block].mine)
+			shard_start(c, &q->shards[i], WHY_CHOSEN, now);
 }
 
-void query_start(core_t *c, const request_t *r, usec_t now)
+static void arm_all(core_t *c, const query_t *q)
 {
-	const conf_class_t *class = NULL;
-	const svc_t *svc = NULL;
-	usec_t left;
-	query_t *q;
-	why_t why;
+	arm(c, q, TM_DEADLINE, q->deadline);
+	if (q->class->kind == CONF_URGENT && q->soft < q->deadline)
+		arm(c, q, TM_SOFT, q->soft);
+	if (!q->class->idempotent)
+		arm(c, q, TM_WITHDRAW, q->deadline - WITHDRAW_MARGIN);
+}
 
-	c->counters[CNT_QUERIES]++;
-	why = admit(c, r, &svc, &class);
-	if (why != WHY_NONE) {
-		reject(c, r, why);
-		return;
-	}
-	q = xcalloc(1, sizeof(*q));
+query_t *query_new(core_t *c, const request_t *r, const svc_t *svc,
+		   const conf_class_t *class, usec_t now)
+{
+	query_t *q = xcalloc(1, sizeof(*q));
+	usec_t left = class->deadline;
+	usec_t soft = class->soft;
+
+	if (r->deadline && r->deadline < left)
+		left = r->deadline;
 	q->id = idmap_add(&c->queries, q);
 	q->view = c->board.conf.view;
 	q->view->refs++;
@@ -140,19 +165,48 @@
 	q->limit = r->limit ? r->limit : DEFAULT_LIMIT;
 	q->route = str_dup(r->route);
 	q->arrived = now;
-	left = r->deadline && r->deadline < class->deadline ? r->deadline
-							    : class->deadline;
 	q->deadline = now + left;
-	q->soft = now + (class->soft < left ? class->soft : left);
-	arm(c, q, TM_DEADLINE, q->deadline);
-	if (class->kind == CONF_URGENT && q->soft < q->deadline)
-		arm(c, q, TM_SOFT, q->soft);
-	if (!class->idempotent)
-		arm(c, q, TM_WITHDRAW, q->deadline - WITHDRAW_MARGIN);
+	q->soft = now + (soft < left ? soft : left);
+	return q;
+}
+
+void query_run(core_t *c, query_t *q, usec_t now)
+{
+	arm_all(c, q);
 	lay_out(c, q);
 	start_shards(c, q, now);
 }
 
+void query_run_groups(core_t *c, query_t *q, group_t **groups, size_t n,
+		      usec_t now)
+{
+	usec_t spent = q->class->deadline - (q->deadline - now);
+
+	/* What is there must be back before the other daemon's soft time. */
+	q->soft = now + q->class->soft - spent - LINK_ALLOWANCE;
+	arm_all(c, q);
+	add_shards(q, groups, n);
+	log_pin(c, q);
+	for (n = 0; !q->over && n < q->nshards; n++)
+		shard_start(c, &q->shards[n], WHY_CHOSEN, now);
+}
+
+void query_start(core_t *c, const request_t *r, usec_t now)
+{
+	const conf_class_t *class = NULL;
+	const svc_t *svc = NULL;
+	why_t why;
+
+	c->counters[CNT_QUERIES]++;
+	why = query_admit(c, r, &svc, &class);
+	if (why != WHY_NONE)
+		query_reject(c, r, why);
+	else if (!class->idempotent && r->key.sz)
+		key_start(c, r, svc, class, now);
+	else
+		query_run(c, query_new(c, r, svc, class, now), now);
+}
+
 static void drop_shards(core_t *c, query_t *q)
 {
 	size_t i;
@@ -162,6 +216,7 @@
 	free(q->shards);
 	q->shards = NULL;
 	q->nshards = 0;
+	forward_drop(c, q);
 }
 
 bool query_restart(core_t *c, query_t *q, usec_t now)
@@ -170,7 +225,8 @@
 	const svc_t *svc;
 	view_t *old = q->view;
 
-	if (q->epoch >= QUERY_MAX_RESTARTS || now >= q->deadline)
+	if (q->origin == FROM_PEER || q->epoch >= QUERY_MAX_RESTARTS ||
+	    now >= q->deadline)
 		return false;
 	if (!q->class->idempotent && (q->ran || q->nout))
 		return false;
@@ -233,6 +289,21 @@
 	return why;
 }
 
+static void deliver(core_t *c, query_t *q, const answer_t *a, usec_t now)
+{
+	switch (q->origin) {
+	case FROM_CALLER:
+		act_add(c, ACT_ANSWER)->answer = *a;
+		break;
+	case FROM_KEY:
+		key_done(c, q, a, now);
+		break;
+	case FROM_PEER:
+		forward_report(c, q, true);
+		break;
+	}
+}
+
 static void query_answer(core_t *c, query_t *q, why_t why, usec_t now)
 {
 	static const counter_t counters[OUT_MAX] = {
@@ -242,31 +313,33 @@
 		[OUT_UNKNOWN] = CNT_ANSWERED_UNKNOWN,
 	};
 	outcome_t out = outcome_of(q);
-	answer_t *a = &act_add(c, ACT_ANSWER)->answer;
+	answer_t a = {
+		.qid = q->id,
+		.caller = q->caller,
+		.outcome = out,
+		.why = out == OUT_COMPLETE ? WHY_NONE : failure_of(q, why),
+		.service = q->svc->conf->name,
+		.class_name = q->class->name,
+		.snapshot = q->snapshot,
+		.map = q->svc->conf->map,
+		.total = q->nshards,
+		.answered = q->ndone,
+		.sent = q->sent,
+		.restarts = q->epoch,
+		.took = now - q->arrived,
+	};
 
 	c->counters[counters[out]]++;
-	a->qid = q->id;
-	a->caller = q->caller;
-	a->outcome = out;
-	a->why = out == OUT_COMPLETE ? WHY_NONE : failure_of(q, why);
-	a->service = q->svc->conf->name;
-	a->class_name = q->class->name;
-	a->snapshot = q->snapshot;
-	a->map = q->svc->conf->map;
-	a->total = q->nshards;
-	a->answered = q->ndone;
-	a->sent = q->sent;
-	a->restarts = q->epoch;
-	a->took = now - q->arrived;
-	fill_missing(q, a);
+	fill_missing(q, &a);
 	if (out == OUT_COMPLETE || out == OUT_PARTIAL) {
-		a->nhits = merge_parts(q);
-		a->hits = q->merged;
+		a.nhits = merge_parts(q);
+		a.hits = q->merged;
 	}
+	deliver(c, q, &a, now);
 	act_log(c, &(decision_line_t){ .what = DEC_ANSWER,
-				       .why = a->why,
+				       .why = a.why,
 				       .qid = q->id,
-				       .service = a->service,
+				       .service = a.service,
 				       .snapshot = q->snapshot,
 				       .n = q->ndone });
 	query_end(c, q);
@@ -278,7 +351,7 @@
 		return;
 	if (q->ndone + q->nfailed == q->nshards)
 		query_answer(c, q, WHY_NONE, now);
-	else if (q->soft_passed && q->ndone &&
+	else if (q->soft_passed && q->ndone && q->origin != FROM_PEER &&
 		 coverage(q) >= q->class->min_coverage)
 		query_answer(c, q, WHY_SOFT_DEADLINE, now);
 }
@@ -321,8 +394,10 @@
 	arm(c, q, TM_DEADLINE, now + WITHDRAW_MARGIN);
 }
 
-static void repin(core_t *c, query_t *q, usec_t now)
+void query_repin(core_t *c, query_t *q, usec_t now)
 {
+	if (q->snapshot)
+		return;
 	drop_shards(c, q);
 	lay_out(c, q);
 	start_shards(c, q, now);
@@ -332,6 +407,10 @@
 {
 	query_t *q = idmap_get(&c->queries, t->qid);
 
+	if (t->kind == TM_KEY_AWAY) {
+		key_timer(c, t, now);
+		return;
+	}
 	if (!q || q->over)
 		return;
 	switch (t->kind) {
@@ -340,18 +419,25 @@
 		break;
 	case TM_SOFT:
 		q->soft_passed = true;
+		if (q->origin == FROM_PEER)
+			forward_report(c, q, false);
 		query_check(c, q, now);
 		break;
 	case TM_WITHDRAW:
 		withdraw(c, q);
 		break;
 	case TM_REPIN:
-		repin(c, q, now);
+		query_repin(c, q, now);
+		break;
+	case TM_FORWARD:
+		forward_timer(c, t, now);
 		break;
 	case TM_HEDGE:
 	case TM_BACKOFF:
 		shard_timer(c, q, t, now);
 		break;
+	case TM_KEY_AWAY:
+		break;
 	}
 }
 
@@ -363,6 +449,7 @@
 	q->over = true;
 	for (i = 0; i < q->nshards; i++)
 		shard_detach(c, &q->shards[i]);
+	forward_drop(c, q);
 	if (c->nover == c->over_room) {
 		c->over_room = c->over_room ? c->over_room * 2 : 16;
 		c->over = xrealloc(c->over, c->over_room * sizeof(*c->over));
--- a/core/report.c
+++ b/core/report.c
@@ -14,11 +14,14 @@
 		.list_version = b->list.list.version,
 		.list_age =
 			b->list.confirmed_at ? now - b->list.confirmed_at : -1,
-		.ready = b->conf.view && !c->stopping,
+		.ready = b->conf.view && b->list.list.version && !c->stopping,
 		.stopping = c->stopping,
 		.open_queries = c->queries.used - c->nover,
 		.open_attempts = c->attempts.used,
 		.nupstreams = b->upstreams.n,
+		.nmembers = b->list.list.ndaemons,
+		.nsuspected = peer_count_suspects(c, now),
+		.read = b->peers.read,
 	};
 	if (b->conf.view) {
 		r->revision = b->conf.view->conf->revision;
--- a/core/shard.c
+++ b/core/shard.c
@@ -1,8 +1,6 @@
 /** @file shard.c One group's part of a query: choose, wait, retry, hedge. */
 #include "libcore.h"
 
-static void shard_fail(core_t *c, shard_t *sh, why_t why, usec_t now);
-
 bool shard_over(const shard_t *sh)
 {
 	return sh->state == SH_DONE || sh->state == SH_FAILED;
@@ -20,7 +18,7 @@
 				       .n = n });
 }
 
-static void shard_fail(core_t *c, shard_t *sh, why_t why, usec_t now)
+void shard_give_up(core_t *c, shard_t *sh, why_t why, usec_t now)
 {
 	sh->state = SH_FAILED;
 	sh->why = why;
@@ -71,7 +69,7 @@
 	if (p->usable) {
 		if (!urgent && sh->group->nwaiting >=
 				       sh->group->nups * QUEUE_MAX_PER_SERVER) {
-			shard_fail(c, sh, WHY_OVERLOAD, now);
+			shard_give_up(c, sh, WHY_OVERLOAD, now);
 			return;
 		}
 		log_shard(c, sh, DEC_WAIT, WHY_BUSY, sh->group->nwaiting);
@@ -80,11 +78,11 @@
 	}
 	if (p->lacking == sh->group->nups) {
 		if (!query_restart(c, sh->q, now))
-			shard_fail(c, sh, WHY_NO_SNAPSHOT, now);
+			shard_give_up(c, sh, WHY_NO_SNAPSHOT, now);
 		return;
 	}
 	if (sh->tries >= SHARD_MAX_TRIES || group_down(c, sh)) {
-		shard_fail(c, sh, WHY_NO_SERVER, now);
+		shard_give_up(c, sh, WHY_NO_SERVER, now);
 		return;
 	}
 	backoff(c, sh, now);
@@ -95,7 +93,7 @@
 	pick_t p;
 
 	if (sh->q->deadline <= now) {
-		shard_fail(c, sh, WHY_DEADLINE, now);
+		shard_give_up(c, sh, WHY_DEADLINE, now);
 		return;
 	}
 	pick_replica(c, sh, now, &p);
@@ -165,11 +163,8 @@
 	sh->part = NULL;
 }
 
-static void shard_done(core_t *c, shard_t *sh, const attempt_t *a, part_t *part,
-		       usec_t now)
+void shard_take(core_t *c, shard_t *sh, part_t *part, usec_t now)
 {
-	if (a->hedge)
-		c->counters[CNT_HEDGES_WON]++;
 	cancel_live(c, sh);
 	sh->part = part;
 	sh->state = SH_DONE;
@@ -221,7 +216,9 @@
 		return;
 	}
 	if (r == RES_OK) {
-		shard_done(c, sh, a, part, now);
+		if (a->hedge)
+			c->counters[CNT_HEDGES_WON]++;
+		shard_take(c, sh, part, now);
 		return;
 	}
 	part_free(part);
@@ -231,11 +228,11 @@
 	if (sh->nlive)
 		return;
 	if (!sh->q->class->idempotent && sh->q->ran) {
-		shard_fail(c, sh, why_of(r), now);
+		shard_give_up(c, sh, why_of(r), now);
 		return;
 	}
 	if (now >= sh->q->deadline - WITHDRAW_MARGIN) {
-		shard_fail(c, sh, WHY_DEADLINE, now);
+		shard_give_up(c, sh, WHY_DEADLINE, now);
 		return;
 	}
 	retry(c, sh, r, now);
--- a/core/snapshot.c
+++ b/core/snapshot.c
@@ -25,39 +25,56 @@
 	v[i].groups++;
 }
 
-static void note_upstream(const upstream_t *u, uint32_t map, seen_t *v,
-			  size_t *n, size_t group)
+static void note_held(const holding_t *held, size_t nheld, uint32_t map,
+		      seen_t *v, size_t *n, size_t group)
 {
 	size_t i;
 
-	for (i = 0; u->evidence.valid && i < u->evidence.nheld; i++)
-		if (u->evidence.held[i].map == map)
-			note(v, n, u->evidence.held[i].snapshot, group);
+	for (i = 0; i < nheld; i++)
+		if (held[i].map == map)
+			note(v, n, held[i].snapshot, group);
 }
 
-static bool is_one_of(uint64_t x, const uint64_t *v, size_t n)
+/* By the servers' own word, or by a holder's for groups held elsewhere. */
+static void note_group(const query_t *q, size_t i, seen_t *v, size_t *n)
 {
-	while (n)
-		if (v[--n] == x)
+	const group_t *g = q->shards[i].group;
+	uint32_t map = q->svc->conf->map;
+	const evidence_t *e;
+	size_t j;
+
+	if (!q->svc->blocks[q->shards[i].block].mine) {
+		note_held(g->held, g->nheld, map, v, n, i);
+		return;
+	}
+	for (j = 0; j < g->nups; j++) {
+		e = &g->ups[j]->evidence;
+		if (e->valid && upstream_alive(g->ups[j]))
+			note_held(e->held, e->nheld, map, v, n, i);
+	}
+}
+
+static bool was_given_up(const query_t *q, uint64_t snapshot)
+{
+	size_t i;
+
+	for (i = 0; i < q->ngiven_up; i++)
+		if (q->given_up[i] == snapshot)
 			return true;
 	return false;
 }
 
 /* The one in most groups, and of those the newest; 0 if none is known. */
-uint64_t snapshot_pin(const svc_t *s, group_t *const *groups, size_t ngroups,
-		      const uint64_t *given_up, size_t ngiven_up)
+uint64_t snapshot_pin(const query_t *q)
 {
 	seen_t v[MAX_SEEN];
 	const seen_t *best = NULL;
-	size_t n = 0, i, j;
+	size_t n = 0, i;
 
-	for (i = 0; i < ngroups; i++)
-		for (j = 0; j < groups[i]->nups; j++)
-			if (upstream_alive(groups[i]->ups[j]))
-				note_upstream(groups[i]->ups[j], s->conf->map,
-					      v, &n, i);
+	for (i = 0; i < q->nshards; i++)
+		note_group(q, i, v, &n);
 	for (i = 0; i < n; i++) {
-		if (is_one_of(v[i].snapshot, given_up, ngiven_up))
+		if (was_given_up(q, v[i].snapshot))
 			continue;
 		if (!best || v[i].groups > best->groups ||
 		    (v[i].groups == best->groups &&
--- a/core/view.c
+++ b/core/view.c
@@ -117,6 +117,8 @@
 		svc->conf = s;
 		svc->state = state_get(c, s->name);
 		svc->ngroups = s->ngroups;
+		svc->nblocks = (s->ngroups + HOLDER_BLOCK - 1) / HOLDER_BLOCK;
+		svc->blocks = xcalloc(svc->nblocks, sizeof(*svc->blocks));
 		svc->groups = xcalloc(s->ngroups, sizeof(*svc->groups));
 		for (j = 0; j < s->ngroups; j++) {
 			svc->groups[j] = group_get(c, s, &s->groups[j]);
@@ -136,7 +138,9 @@
 		for (j = 0; j < v->svcs[i].ngroups; j++)
 			group_unref(c, v->svcs[i].groups[j]);
 		free(v->svcs[i].groups);
+		free(v->svcs[i].blocks);
 	}
+	arena_free(&v->holder_mem);
 	if (c->acts)
 		act_add(c, ACT_CONF_DROP)->conf = v->conf;
 	free(v->svcs);
@@ -164,6 +168,14 @@
 	}
 }
 
+void view_holders(core_t *c)
+{
+	if (!c->board.conf.view)
+		return;
+	holder_assign(c, c->board.conf.view);
+	set_pools(c);
+}
+
 static bool refuse(core_t *c, conf_t *conf)
 {
 	const view_t *v = c->board.conf.view;
@@ -204,7 +216,7 @@
 				    b->view->svcs[i].groups[j],
 				    conf_share(conf, s));
 	}
-	set_pools(c);
+	view_holders(c);
 	act_add(c, ACT_CONF)->conf = conf;
 	act_log(c, &(decision_line_t){ .what = DEC_CONFIG,
 				       .why = WHY_NEWER_REVISION,
@@ -212,6 +224,7 @@
 	list_apply_leaving(c, now);
 	if (old)
 		view_unref(c, old);
+	peer_news(c);
 	queue_drain_all(c, now);
 }
 
--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -17,15 +17,11 @@
 	const char *token;
 };
 
-typedef void (*page_fn_t)(admin_ask_t *ask, const core_t *core, usec_t now,
-			  bool ready);
+typedef void (*page_fn_t)(admin_ask_t *ask, const admin_view_t *v);
 
-static void page_status(admin_ask_t *ask, const core_t *core, usec_t now,
-			bool ready);
-static void page_upstreams(admin_ask_t *ask, const core_t *core, usec_t now,
-			   bool ready);
-static void page_metrics(admin_ask_t *ask, const core_t *core, usec_t now,
-			 bool ready);
+static void page_status(admin_ask_t *ask, const admin_view_t *v);
+static void page_upstreams(admin_ask_t *ask, const admin_view_t *v);
+static void page_metrics(admin_ask_t *ask, const admin_view_t *v);
 
 static const struct {
 	const char *path;
@@ -51,25 +47,27 @@
 	return t < 0 ? -1.0 : (double)t / (double)USEC_PER_SEC;
 }
 
-static void page_status(admin_ask_t *ask, const core_t *core, usec_t now,
-			bool ready)
+static void page_status(admin_ask_t *ask, const admin_view_t *v)
 {
 	core_report_t r;
 	char hash[24];
 
-	core_report(core, now, &r);
+	core_report(v->core, v->now, &r);
 	g_snprintf(hash, sizeof(hash), "%016" G_GINT64_MODIFIER "x",
 		   (guint64)r.conf_hash);
 	set_json(ask,
-		 json_pack("{sb sb sI ss sI sf sI sI sI sI}", "ready", ready,
-			   "stopping", r.stopping, "revision",
+		 json_pack("{sb sb sI ss sI sf sI sI sI sI sI sI sI}", "ready",
+			   v->ready, "stopping", r.stopping, "revision",
 			   (json_int_t)r.revision, "hash", hash, "list_version",
 			   (json_int_t)r.list_version, "list_age_s",
 			   seconds(r.list_age), "open_queries",
 			   (json_int_t)r.open_queries, "open_attempts",
 			   (json_int_t)r.open_attempts, "upstreams",
 			   (json_int_t)r.nupstreams, "log_lines_dropped",
-			   (json_int_t)log_dropped()));
+			   (json_int_t)log_dropped(), "daemons",
+			   (json_int_t)r.nmembers, "daemons_suspected",
+			   (json_int_t)r.nsuspected, "platform_read",
+			   (json_int_t)r.read));
 }
 
 static json_t *upstream_json(const upstream_report_t *r)
@@ -86,34 +84,55 @@
 		(json_int_t)r->newest);
 }
 
-static void page_upstreams(admin_ask_t *ask, const core_t *core, usec_t now,
-			   bool ready)
+static void page_upstreams(admin_ask_t *ask, const admin_view_t *v)
 {
 	json_t *a = json_array();
 	upstream_report_t r;
 	size_t i;
 
-	(void)ready;
-	for (i = 0; core_report_upstream(core, i, now, &r); i++)
+	for (i = 0; core_report_upstream(v->core, i, v->now, &r); i++)
 		json_array_append_new(a, upstream_json(&r));
 	set_json(ask, a);
 }
 
-static void page_metrics(admin_ask_t *ask, const core_t *core, usec_t now,
-			 bool ready)
+static void append_peers(GString *s, const peers_counts_t *c)
+{
+	const struct {
+		const char *name;
+		uint64_t n;
+	} rows[] = {
+		{ "messages_sent", c->sent },
+		{ "bytes_sent", c->bytes_sent },
+		{ "messages_received", c->received },
+		{ "bytes_received", c->bytes_received },
+		{ "messages_refused", c->refused },
+		{ "messages_not_sent", c->not_sent },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		g_string_append_printf(s,
+				       "# TYPE geraniumslip_peer_%s_total "
+				       "counter\n"
+				       "geraniumslip_peer_%s_total %llu\n",
+				       rows[i].name, rows[i].name,
+				       (unsigned long long)rows[i].n);
+}
+
+static void page_metrics(admin_ask_t *ask, const admin_view_t *v)
 {
 	GString *s = g_string_new(NULL);
 	core_report_t r;
 	counter_t k;
 
-	core_report(core, now, &r);
+	core_report(v->core, v->now, &r);
 	for (k = 0; k < CNT_MAX; k++)
 		g_string_append_printf(
 			s,
 			"# TYPE geraniumslip_%s_total counter\n"
 			"geraniumslip_%s_total %llu\n",
 			counter_name(k), counter_name(k),
-			(unsigned long long)core_counter(core, k));
+			(unsigned long long)core_counter(v->core, k));
 	g_string_append_printf(s,
 			       "# TYPE geraniumslip_revision gauge\n"
 			       "geraniumslip_revision %llu\n"
@@ -124,15 +143,16 @@
 			       "# TYPE geraniumslip_log_lines_dropped_total "
 			       "counter\n"
 			       "geraniumslip_log_lines_dropped_total %llu\n",
-			       (unsigned long long)r.revision, ready,
+			       (unsigned long long)r.revision, v->ready,
 			       r.open_queries,
 			       (unsigned long long)log_dropped());
+	append_peers(s, v->counts);
 	ask->text = strdup(s->str);
 	ask->status = MHD_HTTP_OK;
 	g_string_free(s, TRUE);
 }
 
-void admin_answer(admin_ask_t *ask, const core_t *core, usec_t now, bool ready)
+void admin_answer(admin_ask_t *ask, const admin_view_t *v)
 {
 	size_t i;
 
@@ -142,7 +162,7 @@
 		if (strcmp(pages[i].path, ask->path) != 0)
 			continue;
 		ask->type = pages[i].type;
-		pages[i].fill(ask, core, now, ready);
+		pages[i].fill(ask, v);
 		return;
 	}
 }
--- a/daemon/engine.c
+++ b/daemon/engine.c
@@ -3,15 +3,21 @@
  * The thread that owns the core: takes messages, steps the core, and does
  * what the core says. It decides nothing itself.
  */
-#include <poll.h>
+#include <arpa/inet.h>
+#include <ne_session.h>
+#include <ne_socket.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 #include <urcu-bp.h>
+#include <xxhash.h>
+#include <zmq.h>
 
 #include "libdaemon.h"
+#include "wire.h"
 
+#define PEER_BATCH 64 /* messages between two looks at the rest */
 #define STOP_POLL (20 * USEC_PER_MSEC)
 
 /** Where a planned stop is. */
@@ -30,6 +36,8 @@
 	front_t *front;
 	platform_t *platform;
 	admin_t *admin;
+	peers_t *peers;
+	loader_t *loader;
 	int wake;
 	struct cds_wfcq_head head;
 	struct cds_wfcq_tail tail;
@@ -39,6 +47,7 @@
 	size_t later_room;
 	stop_phase_t phase;
 	usec_t phase_at;
+	ne_inet_addr *source; /* address that connections come from */
 	atomic_bool ready;
 	atomic_bool stop_asked;
 };
@@ -52,6 +61,9 @@
 static void act_pool(engine_t *e, act_t *a);
 static void act_conf(engine_t *e, act_t *a);
 static void act_conf_drop(engine_t *e, act_t *a);
+static void act_body_drop(engine_t *e, act_t *a);
+static void act_peer(engine_t *e, act_t *a);
+static void act_read(engine_t *e, act_t *a);
 static void act_log(engine_t *e, act_t *a);
 
 static const act_fn_t act_fns[ACT_MAX] = {
@@ -59,6 +71,8 @@
 	[ACT_CANCEL] = act_cancel,	 [ACT_ANSWER] = act_answer,
 	[ACT_POOL] = act_pool,		 [ACT_CONF] = act_conf,
 	[ACT_CONF_DROP] = act_conf_drop, [ACT_LOG] = act_log,
+	[ACT_BODY_DROP] = act_body_drop, [ACT_PEER] = act_peer,
+	[ACT_READ] = act_read,
 };
 
 msg_t *msg_new(ev_kind_t kind)
@@ -176,6 +190,37 @@
 	conf_free(a->conf);
 }
 
+static void act_body_drop(engine_t *e, act_t *a)
+{
+	(void)e;
+	body_unref(a->body);
+}
+
+static void act_peer(engine_t *e, act_t *a)
+{
+	event_t ev = { .kind = EV_PEER_FAILED };
+	peer_msg_t *m = &a->peer.msg;
+	const body_t *body = a->peer.body;
+	char *delta = NULL;
+
+	if (body)
+		m->text = (str_t){ body->bytes, body->sz };
+	if (m->kind == PEER_DELTA) {
+		delta = loader_delta(e->loader, m->revision);
+		m->text = str_of(delta);
+	}
+	if (!peers_send(e->peers, a->peer.to, m, clock_now())) {
+		ev.token = m->token;
+		add_later(e, &ev);
+	}
+	free(delta);
+}
+
+static void act_read(engine_t *e, act_t *a)
+{
+	platform_read(e->platform, a->read);
+}
+
 static void act_log(engine_t *e, act_t *a)
 {
 	const decision_line_t *l = &a->log;
@@ -223,13 +268,54 @@
 	if (m->has_event)
 		step_all(e, &m->ev);
 	if (m->ask) {
-		admin_answer(m->ask, e->core, clock_now(), engine_ready(e));
+		admin_view_t v = {
+			.core = e->core,
+			.counts = peers_counts(e->peers),
+			.now = clock_now(),
+			.ready = engine_ready(e),
+		};
+
+		admin_answer(m->ask, &v);
 		MHD_resume_connection(m->ask->conn);
 	}
 	arena_free(&m->mem);
 	free(m);
 }
 
+/* A request's text becomes a body that outlives the message. */
+static void set_body(event_t *ev)
+{
+	const peer_msg_t *m = ev->peer.msg;
+
+	if (m->kind != PEER_KEYED && m->kind != PEER_FORWARD)
+		return;
+	ev->peer.body = body_new(g_memdup2(m->text.s, m->text.sz), m->text.sz);
+	ev->peer.body_hash = str_hash(m->text, 0);
+}
+
+static void take_peer_msgs(engine_t *e)
+{
+	peer_msg_t m;
+	unsigned i;
+
+	for (i = 0; i < PEER_BATCH; i++) {
+		event_t ev = { .kind = EV_PEER };
+		arena_t mem = { 0 };
+
+		if (!peers_receive(e->peers, &m, &mem)) {
+			arena_free(&mem);
+			return;
+		}
+		if (m.kind == PEER_DELTA)
+			loader_apply(e->loader, m.text);
+		ev.peer.msg = &m;
+		set_body(&ev);
+		step_all(e, &ev);
+		wire_free_parts(&m);
+		arena_free(&mem);
+	}
+}
+
 static msg_t *next_msg(engine_t *e)
 {
 	struct cds_wfcq_node *n;
@@ -240,7 +326,10 @@
 
 static void sleep_until(engine_t *e, usec_t at)
 {
-	struct pollfd pfd = { .fd = e->wake, .events = POLLIN };
+	zmq_pollitem_t items[] = {
+		{ .fd = e->wake, .events = ZMQ_POLLIN },
+		{ .socket = peers_socket(e->peers), .events = ZMQ_POLLIN },
+	};
 	usec_t left = at - clock_now();
 	uint64_t n;
 	ssize_t got;
@@ -248,7 +337,8 @@
 	if (left < 0)
 		left = 0;
 	/* Rounded up, so that a timer is due when the poll ends. */
-	if (poll(&pfd, 1, (int)((left + 999) / 1000)) == 1) {
+	if (zmq_poll(items, 2, (long)((left + 999) / 1000)) > 0 &&
+	    items[0].revents) {
 		got = read(e->wake, &n, sizeof(n));
 		(void)got;
 	}
@@ -322,6 +412,7 @@
 	while (e->phase != STOP_DONE) {
 		while ((m = next_msg(e)))
 			take_msg(e, m);
+		take_peer_msgs(e);
 		if (core_next(e->core) <= clock_now())
 			step_all(e, &tick);
 		check_ready(e);
@@ -331,19 +422,37 @@
 	}
 }
 
+void engine_bind_session(const engine_t *e, void *session)
+{
+	ne_set_localaddr(session, e->source);
+}
+
 engine_t *engine_new(const settings_t *s)
 {
 	engine_t *e = xcalloc(1, sizeof(*e));
 	core_params_t p;
+	char host[ADDR_HOST_MAX];
+	struct in_addr in;
+	unsigned port;
+	size_t i;
 
 	e->settings = *s;
+	addr_split(str_of(s->peer), host, &port);
+	inet_pton(AF_INET, host, &in);
+	e->source = ne_iaddr_make(ne_iaddr_ipv4, (unsigned char *)&in);
 	core_params_init(&p);
 	p.name = str_of(s->name);
 	p.dc = str_of(s->dc);
+	p.peer = str_of(s->peer);
+	p.nseeds = s->seeds ? g_strv_length(s->seeds) : 0;
+	p.seeds = xcalloc(p.nseeds, sizeof(*p.seeds));
+	for (i = 0; i < p.nseeds; i++)
+		p.seeds[i] = str_of(s->seeds[i]);
 	p.seed = s->seed ? s->seed : str_hash(p.name, (uint64_t)clock_now());
 	if (s->policy)
 		p.policy = policy_by_name(str_of(s->policy));
 	e->core = core_new(&p, clock_now());
+	free(p.seeds);
 	e->wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	cds_wfcq_init(&e->head, &e->tail);
 	e->pools = pools_new(e);
@@ -354,13 +463,19 @@
 {
 	const settings_t *s = &e->settings;
 
+	e->peers = peers_new(s);
+	if (!e->peers)
+		return DAEMON_E_PEER;
+	e->loader = loader_start(e);
+	if (!e->loader)
+		return DAEMON_E_THREAD;
 	e->front = front_start(e, s->listen);
 	if (!e->front)
 		return DAEMON_E_LISTEN;
 	e->admin = admin_start(e, s);
 	if (!e->admin)
 		return DAEMON_E_LISTEN;
-	e->platform = platform_start(e, s);
+	e->platform = platform_start(e, e->loader, s);
 	if (!e->platform)
 		return DAEMON_E_THREAD;
 	loop(e);
@@ -391,6 +506,7 @@
 		return;
 	if (e->platform)
 		platform_stop(e->platform);
+	loader_stop(e->loader);
 	drop_msgs(e);
 	if (e->admin)
 		admin_stop(e->admin);
@@ -399,8 +515,10 @@
 	drop_msgs(e);
 	pools_free(e->pools);
 	core_free(e->core);
+	peers_free(e->peers);
 	acts_free(&e->acts);
 	free(e->later);
 	close(e->wake);
+	ne_iaddr_free(e->source);
 	free(e);
 }
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -236,6 +236,8 @@
 	r->deadline = k->deadline;
 	r->limit = k->limit;
 	r->body = call->body;
+	r->body_hash =
+		str_hash((str_t){ call->body->bytes, call->body->sz }, 0);
 	r->caller = call;
 	atomic_fetch_add(&call->front->open, 1);
 	MHD_suspend_connection(call->conn);
--- a/daemon/libdaemon.h
+++ b/daemon/libdaemon.h
@@ -91,6 +91,8 @@
 typedef struct pools pools_t;
 typedef struct platform platform_t;
 typedef struct admin admin_t;
+typedef struct peers peers_t;
+typedef struct loader loader_t;
 
 /** An event on its way to the engine's thread. */
 typedef struct msg {
@@ -120,6 +122,8 @@
 const conf_t *engine_conf(const engine_t *e);
 void engine_read_begin(void);
 void engine_read_end(void);
+/** Makes a session's connections come from this daemon's own address. */
+void engine_bind_session(const engine_t *e, void *session);
 /** Whether new requests are welcome. */
 bool engine_ready(const engine_t *e);
 
@@ -197,11 +201,55 @@
 /** Takes the job for sending if it may still be sent now. */
 bool job_last_look(job_t *j, usec_t now);
 
+/* loader.c */
+loader_t *loader_start(engine_t *e);
+/** Reads a store that came from the platform; takes it over. */
+void loader_put(loader_t *l, conf_store_t *s);
+/** Reads a delta that came from a peer. */
+void loader_apply(loader_t *l, str_t delta);
+/** The newest revision that was read, valid or not. */
+uint64_t loader_seen(loader_t *l);
+/** A copy of the newest valid store. */
+conf_store_t *loader_copy(loader_t *l);
+/** What changed after a revision; the caller frees it. */
+char *loader_delta(loader_t *l, uint64_t since);
+void loader_stop(loader_t *l);
+
 /* platform.c */
-platform_t *platform_start(engine_t *e, const settings_t *s);
+platform_t *platform_start(engine_t *e, loader_t *l, const settings_t *s);
+/** Sets how it is read; from the engine's thread. */
+void platform_read(platform_t *p, read_mode_t mode);
 void platform_stop(platform_t *p);
 
+/* peers.c */
+/** What went over the peer sockets. */
+typedef struct peers_counts {
+	uint64_t sent;
+	uint64_t bytes_sent;
+	uint64_t received;
+	uint64_t bytes_received;
+	uint64_t refused;  /* not messages */
+	uint64_t not_sent; /* a queue was full */
+} peers_counts_t;
+peers_t *peers_new(const settings_t *s);
+/** The socket to be polled for what comes. */
+void *peers_socket(peers_t *p);
+/** Sends; false if it certainly was not sent. */
+bool peers_send(peers_t *p, str_t to, const peer_msg_t *m, usec_t now);
+/** Reads the next message; false if there is none now. */
+bool peers_receive(peers_t *p, peer_msg_t *m, arena_t *mem);
+const peers_counts_t *peers_counts(const peers_t *p);
+void peers_free(peers_t *p);
+
 /* admin.c */
+/** What an answer to an operator is made of. */
+typedef struct admin_view {
+	const core_t *core;
+	const peers_counts_t *counts;
+	usec_t now;
+	bool ready;
+} admin_view_t;
+
 /** A question of an operator, answered in the engine's thread. */
 typedef struct admin_ask {
 	const char *path;
@@ -214,6 +262,6 @@
 admin_t *admin_start(engine_t *e, const settings_t *s);
 void admin_stop(admin_t *a);
 /** Fills in the answer; runs in the engine's thread. */
-void admin_answer(admin_ask_t *ask, const core_t *core, usec_t now, bool ready);
+void admin_answer(admin_ask_t *ask, const admin_view_t *v);
 
 #endif
--- /dev/null
+++ b/daemon/peers.c
@@ -0,0 +1,314 @@
+/**
+ * @file peers.c
+ * Messages between daemons over ZeroMQ: one socket bound for what comes, one
+ * for each daemon that is sent to. Only the engine's thread uses them.
+ */
+#include <errno.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "libdaemon.h"
+#include "wire.h"
+
+#define HIGH_WATER 1000 /* messages that wait in a socket */
+#define RECONNECT_MS 100
+#define RECONNECT_MAX_MS 2000
+#define HEARTBEAT_MS 1000
+#define HEARTBEAT_TIMEOUT_MS 3000
+#define LINGER_MS 200
+#define MAX_LINKS 128 /* the longest unused is closed first */
+#define KEY_TEXT 40   /* bytes of a Z85 key */
+#define ZAP_ENDPOINT "inproc://zeromq.zap.01"
+#define ZAP_FRAMES 7
+
+typedef struct link {
+	char *addr;
+	void *socket;
+	usec_t used_at;
+} link_t;
+
+struct peers {
+	const settings_t *settings;
+	void *context;
+	void *in;
+	GHashTable *links;	  /* address to link_t */
+	char host[ADDR_HOST_MAX]; /* connections come from here */
+	pthread_t zap;
+	bool has_zap;
+	uint8_t key[32]; /* of the fleet */
+	peers_counts_t counts;
+};
+
+static void set_int(void *s, int option, int value)
+{
+	zmq_setsockopt(s, option, &value, sizeof(value));
+}
+
+static void set_common(void *s)
+{
+	int64_t max = (int64_t)WIRE_MAX_BYTES;
+
+	set_int(s, ZMQ_SNDHWM, HIGH_WATER);
+	set_int(s, ZMQ_RCVHWM, HIGH_WATER);
+	set_int(s, ZMQ_LINGER, LINGER_MS);
+	set_int(s, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
+	set_int(s, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
+	zmq_setsockopt(s, ZMQ_MAXMSGSIZE, &max, sizeof(max));
+}
+
+static bool has_keys(const peers_t *p)
+{
+	return p->settings->peer_secret != NULL;
+}
+
+/* The fleet has one key pair; who has not its secret is turned away. */
+static void set_keys(const peers_t *p, void *s, bool server)
+{
+	const settings_t *k = p->settings;
+
+	if (!has_keys(p))
+		return;
+	if (server)
+		set_int(s, ZMQ_CURVE_SERVER, 1);
+	else
+		zmq_setsockopt(s, ZMQ_CURVE_SERVERKEY, k->peer_public,
+			       KEY_TEXT);
+	zmq_setsockopt(s, ZMQ_CURVE_PUBLICKEY, k->peer_public, KEY_TEXT);
+	zmq_setsockopt(s, ZMQ_CURVE_SECRETKEY, k->peer_secret, KEY_TEXT);
+}
+
+static void send_frame(void *s, const char *text, bool more)
+{
+	zmq_send(s, text, strlen(text), more ? ZMQ_SNDMORE : 0);
+}
+
+/* Answers one question of ZeroMQ about a connection that wants in. */
+static bool zap_once(peers_t *p, void *s)
+{
+	char request_id[64] = "";
+	uint8_t key[32];
+	bool known = false;
+	int i, n = 0, more = 1;
+	size_t sz = sizeof(more);
+	char buf[256];
+
+	for (i = 0; more; i++) {
+		n = zmq_recv(s, buf, sizeof(buf), 0);
+		if (n < 0)
+			return false;
+		zmq_getsockopt(s, ZMQ_RCVMORE, &more, &sz);
+		if (i == 1 && n < (int)sizeof(request_id)) {
+			memcpy(request_id, buf, (size_t)n);
+			request_id[n] = '\0';
+		}
+		if (i == ZAP_FRAMES - 1 && n == (int)sizeof(key))
+			known = memcmp(buf, p->key, sizeof(key)) == 0;
+	}
+	send_frame(s, "1.0", true);
+	send_frame(s, request_id, true);
+	send_frame(s, known ? "200" : "400", true);
+	send_frame(s, known ? "OK" : "unknown key", true);
+	send_frame(s, "", true);
+	send_frame(s, "", false);
+	return true;
+}
+
+static void *zap_thread(void *arg)
+{
+	peers_t *p = arg;
+	void *s = zmq_socket(p->context, ZMQ_REP);
+
+	set_int(s, ZMQ_LINGER, 0);
+	zmq_bind(s, ZAP_ENDPOINT);
+	while (zap_once(p, s))
+		;
+	zmq_close(s);
+	return NULL;
+}
+
+static bool start_zap(peers_t *p)
+{
+	if (!has_keys(p)) {
+		log_json(G_LOG_LEVEL_WARNING,
+			 "peers are not authenticated: no peer keys are set",
+			 "%s", "");
+		return true;
+	}
+	if (!zmq_z85_decode(p->key, p->settings->peer_public))
+		return false;
+	p->has_zap = pthread_create(&p->zap, NULL, zap_thread, p) == 0;
+	return p->has_zap;
+}
+
+static void link_free(gpointer data)
+{
+	link_t *l = data;
+
+	zmq_close(l->socket);
+	free(l->addr);
+	free(l);
+}
+
+peers_t *peers_new(const settings_t *s)
+{
+	peers_t *p = xcalloc(1, sizeof(*p));
+	char endpoint[64];
+	unsigned port;
+
+	p->settings = s;
+	p->context = zmq_ctx_new();
+	p->links =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, link_free);
+	addr_split(str_of(s->peer), p->host, &port);
+	if (!start_zap(p))
+		goto err;
+	p->in = zmq_socket(p->context, ZMQ_ROUTER);
+	set_common(p->in);
+	set_keys(p, p->in, true);
+	g_snprintf(endpoint, sizeof(endpoint), "tcp://%s", s->peer);
+	if (zmq_bind(p->in, endpoint) == 0)
+		return p;
+err:
+	peers_free(p);
+	return NULL;
+}
+
+void *peers_socket(peers_t *p)
+{
+	return p->in;
+}
+
+static void close_oldest(peers_t *p)
+{
+	GHashTableIter it;
+	link_t *oldest = NULL;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, p->links);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		link_t *l = v;
+
+		if (!oldest || l->used_at < oldest->used_at)
+			oldest = l;
+	}
+	if (oldest)
+		g_hash_table_remove(p->links, oldest->addr);
+}
+
+static link_t *link_get(peers_t *p, const char *addr, usec_t now)
+{
+	link_t *l = g_hash_table_lookup(p->links, addr);
+	char endpoint[96];
+
+	if (l) {
+		l->used_at = now;
+		return l;
+	}
+	if (g_hash_table_size(p->links) >= MAX_LINKS)
+		close_oldest(p);
+	l = xcalloc(1, sizeof(*l));
+	l->addr = strdup(addr);
+	l->used_at = now;
+	l->socket = zmq_socket(p->context, ZMQ_DEALER);
+	set_common(l->socket);
+	set_int(l->socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+	set_int(l->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+	set_keys(p, l->socket, false);
+	g_snprintf(endpoint, sizeof(endpoint), "tcp://%s:0;%s", p->host, addr);
+	if (zmq_connect(l->socket, endpoint) != 0)
+		p->counts.not_sent++;
+	g_hash_table_insert(p->links, l->addr, l);
+	return l;
+}
+
+bool peers_send(peers_t *p, str_t to, const peer_msg_t *m, usec_t now)
+{
+	char addr[64];
+	size_t sz;
+	char *bytes;
+	bool ok;
+
+	str_copy(addr, sizeof(addr), to);
+	bytes = wire_encode(m, &sz);
+	ok = sz <= WIRE_MAX_BYTES &&
+	     zmq_send(link_get(p, addr, now)->socket, bytes, sz,
+		      ZMQ_DONTWAIT) == (int)sz;
+	free(bytes);
+	if (ok) {
+		p->counts.bytes_sent += sz;
+		p->counts.sent++;
+	} else {
+		p->counts.not_sent++;
+	}
+	return ok;
+}
+
+static void refuse(peers_t *p, wire_err_t err)
+{
+	p->counts.refused++;
+	log_json(G_LOG_LEVEL_WARNING, "peer message refused", "\"why\":\"%s\"",
+		 wire_strerror(err));
+}
+
+/* Reads the frame after the sender's identity. */
+static bool receive(peers_t *p, zmq_msg_t *frame)
+{
+	zmq_msg_t id;
+	bool more;
+
+	zmq_msg_init(&id);
+	if (zmq_msg_recv(&id, p->in, ZMQ_DONTWAIT) < 0) {
+		zmq_msg_close(&id);
+		return false;
+	}
+	more = zmq_msg_more(&id);
+	zmq_msg_close(&id);
+	while (more) {
+		zmq_msg_recv(frame, p->in, 0);
+		more = zmq_msg_more(frame);
+	}
+	return true;
+}
+
+bool peers_receive(peers_t *p, peer_msg_t *m, arena_t *mem)
+{
+	wire_err_t err = WIRE_E_FORMAT;
+	zmq_msg_t frame;
+
+	while (err != WIRE_OK) {
+		zmq_msg_init(&frame);
+		if (!receive(p, &frame)) {
+			zmq_msg_close(&frame);
+			return false;
+		}
+		p->counts.received++;
+		p->counts.bytes_received += zmq_msg_size(&frame);
+		err = wire_decode(zmq_msg_data(&frame), zmq_msg_size(&frame), m,
+				  mem);
+		zmq_msg_close(&frame);
+		if (err != WIRE_OK)
+			refuse(p, err);
+	}
+	return true;
+}
+
+const peers_counts_t *peers_counts(const peers_t *p)
+{
+	return &p->counts;
+}
+
+void peers_free(peers_t *p)
+{
+	if (!p)
+		return;
+	g_hash_table_destroy(p->links);
+	if (p->in)
+		zmq_close(p->in);
+	zmq_ctx_shutdown(p->context);
+	if (p->has_zap)
+		pthread_join(p->zap, NULL);
+	zmq_ctx_term(p->context);
+	free(p);
+}
--- a/daemon/platform.c
+++ b/daemon/platform.c
@@ -17,7 +17,10 @@
 #define READ_TIMEOUT_S 2
 #define RETRY_PERIOD (200 * USEC_PER_MSEC)
 #define MAX_VALUE ((size_t)1 << 20) /* bytes of a platform value */
-#define MAX_NEED 4097		    /* sections of a configuration */
+#define IDLE_PERIOD (20 * USEC_PER_MSEC)
+#define BIT_CONFIG 1U
+#define BIT_HOSTS 2U
+#define MAX_NEED 4097 /* sections of a configuration */
 
 /* One watched value. */
 typedef struct watch {
@@ -34,9 +37,10 @@
 	atomic_bool quit;
 	watch_t config;
 	watch_t hosts;
-	conf_store_t *store;
+	loader_t *loader;
+	atomic_int mode;  /* read_mode_t */
+	atomic_uint once; /* bits of the watches that read once */
 	uint64_t hosts_version;
-	uint64_t refused; /* a revision that was not valid */
 };
 
 /* Reads a value; NULL with *status 0 if the platform did not answer. */
@@ -77,6 +81,7 @@
 
 	addr_split(str_of(w->platform->addrs[w->at]), host, &port);
 	w->session = ne_session_create("http", host, port);
+	engine_bind_session(w->platform->engine, w->session);
 	ne_set_connect_timeout(w->session, READ_TIMEOUT_S);
 }
 
@@ -96,27 +101,6 @@
 	return atomic_load(&w->platform->quit);
 }
 
-static void post_conf(platform_t *p, conf_t *conf)
-{
-	msg_t *m = msg_new(EV_CONF);
-
-	m->ev.conf = conf;
-	engine_post(p->engine, m);
-}
-
-static void post_refusal(const conf_store_t *s, const conf_faults_t *f)
-{
-	char path[256], detail[256];
-
-	log_json(G_LOG_LEVEL_WARNING, "configuration refused",
-		 "\"revision\":%llu,\"faults\":%zu,\"path\":%s,"
-		 "\"fault\":\"%s\",\"detail\":%s",
-		 (unsigned long long)s->revision, f->n,
-		 log_quote(path, sizeof(path), str_of(f->v[0].path)),
-		 conf_strerror(f->v[0].err),
-		 log_quote(detail, sizeof(detail), str_of(f->v[0].detail)));
-}
-
 static bool fetch_section(watch_t *w, conf_store_t *s, str_t name)
 {
 	char path[256];
@@ -168,29 +152,37 @@
 }
 
 static void take_index(watch_t *w, str_t index)
+{
+	conf_store_t *s = loader_copy(w->platform->loader);
+
+	if (fetch_all(w, s, index))
+		loader_put(w->platform->loader, s);
+	else
+		conf_store_free(s);
+}
+
+/* Blocks until this watch is to read; false when it is to quit. */
+static bool wait_turn(watch_t *w, unsigned bit, int *wait_ms)
 {
 	platform_t *p = w->platform;
-	conf_store_t *s = conf_store_copy(p->store);
-	conf_faults_t *f = xcalloc(1, sizeof(*f));
-	conf_t *conf;
-
-	if (!fetch_all(w, s, index) || s->revision <= p->store->revision ||
-	    s->revision == p->refused)
-		goto drop;
-	conf = conf_store_parse(s, f);
-	if (!conf) {
-		p->refused = s->revision;
-		post_refusal(s, f);
-		goto drop;
+
+	while (!quitting(w)) {
+		*wait_ms = WAIT_MS;
+		if (atomic_load(&p->mode) == READ_WATCH)
+			return true;
+		*wait_ms = 0;
+		if (atomic_fetch_and(&p->once, ~bit) & bit)
+			return true;
+		g_usleep(IDLE_PERIOD);
 	}
-	conf_store_free(p->store);
-	p->store = s;
-	free(f);
-	post_conf(p, conf);
-	return;
-drop:
-	conf_store_free(s);
-	free(f);
+	return false;
+}
+
+void platform_read(platform_t *p, read_mode_t mode)
+{
+	if (mode == READ_ONCE)
+		atomic_store(&p->once, BIT_CONFIG | BIT_HOSTS);
+	atomic_store(&p->mode, mode);
 }
 
 static void *config_thread(void *arg)
@@ -199,17 +191,14 @@
 	char path[128];
 	char *text;
 	size_t sz;
-	int status;
+	int status, wait_ms;
 
 	open_session(w);
-	while (!quitting(w)) {
-		uint64_t after = w->platform->store->revision;
-
-		if (w->platform->refused > after)
-			after = w->platform->refused;
+	while (wait_turn(w, BIT_CONFIG, &wait_ms)) {
 		g_snprintf(path, sizeof(path),
 			   "/v1/config/index?after=%llu&wait_ms=%d",
-			   (unsigned long long)after, WAIT_MS);
+			   (unsigned long long)loader_seen(w->platform->loader),
+			   wait_ms);
 		text = get(w, path, &sz, &status);
 		if (!text)
 			turn_away(w);
@@ -298,14 +287,14 @@
 	char path[128];
 	char *text;
 	size_t sz;
-	int status;
+	int status, wait_ms;
 
 	open_session(w);
-	while (!quitting(w)) {
+	while (wait_turn(w, BIT_HOSTS, &wait_ms)) {
 		g_snprintf(path, sizeof(path),
 			   "/v1/hosts?after=%llu&wait_ms=%d",
 			   (unsigned long long)w->platform->hosts_version,
-			   WAIT_MS);
+			   wait_ms);
 		text = get(w, path, &sz, &status);
 		if (!text) {
 			post_list(w, EV_LIST_FAILED);
@@ -324,13 +313,13 @@
 	return NULL;
 }
 
-platform_t *platform_start(engine_t *e, const settings_t *s)
+platform_t *platform_start(engine_t *e, loader_t *l, const settings_t *s)
 {
 	platform_t *p = xcalloc(1, sizeof(*p));
 
 	p->engine = e;
 	p->addrs = s->platform;
-	p->store = conf_store_new();
+	p->loader = l;
 	p->config.platform = p;
 	p->hosts.platform = p;
 	if (pthread_create(&p->config.thread, NULL, config_thread, &p->config))
@@ -342,7 +331,6 @@
 	}
 	return p;
 err:
-	conf_store_free(p->store);
 	free(p);
 	return NULL;
 }
@@ -352,6 +340,5 @@
 	atomic_store(&p->quit, true);
 	pthread_join(p->config.thread, NULL);
 	pthread_join(p->hosts.thread, NULL);
-	conf_store_free(p->store);
 	free(p);
 }
--- a/daemon/pool.c
+++ b/daemon/pool.c
@@ -109,6 +109,7 @@
 static void session_open(conn_t *c)
 {
 	c->session = ne_session_create("http", c->pool->host, c->pool->port);
+	engine_bind_session(c->pools->engine, c->session);
 	ne_set_connect_timeout(c->session, CONNECT_TIMEOUT_S);
 	ne_set_session_flag(c->session, NE_SESSFLAG_PERSIST, 1);
 }
--- /dev/null
+++ b/wire/wire_encode.c
@@ -0,0 +1,139 @@
+/** @file wire_encode.c Messages to bytes. */
+#include <msgpack.h>
+#include <stdlib.h>
+
+#include "libwire.h"
+
+typedef void (*put_fn_t)(msgpack_packer *pk, const peer_msg_t *m,
+			 const void *at);
+
+static void put_str(msgpack_packer *pk, const peer_msg_t *m, const void *at);
+static void put_u64(msgpack_packer *pk, const peer_msg_t *m, const void *at);
+static void put_i64(msgpack_packer *pk, const peer_msg_t *m, const void *at);
+static void put_list(msgpack_packer *pk, const peer_msg_t *m, const void *at);
+static void put_groups(msgpack_packer *pk, const peer_msg_t *m, const void *at);
+static void put_parts(msgpack_packer *pk, const peer_msg_t *m, const void *at);
+static void put_hits(msgpack_packer *pk, const peer_msg_t *m, const void *at);
+
+static const put_fn_t puts_by_type[WIRE_TYPES] = {
+	[WIRE_STR] = put_str,	    [WIRE_U64] = put_u64,
+	[WIRE_I64] = put_i64,	    [WIRE_LIST] = put_list,
+	[WIRE_GROUPS] = put_groups, [WIRE_PARTS] = put_parts,
+	[WIRE_HITS] = put_hits,
+};
+
+static void pack_str(msgpack_packer *pk, str_t v)
+{
+	msgpack_pack_str(pk, v.sz);
+	if (v.sz)
+		msgpack_pack_str_body(pk, v.s, v.sz);
+}
+
+static void put_str(msgpack_packer *pk, const peer_msg_t *m, const void *at)
+{
+	(void)m;
+	pack_str(pk, *(const str_t *)at);
+}
+
+static void put_u64(msgpack_packer *pk, const peer_msg_t *m, const void *at)
+{
+	(void)m;
+	msgpack_pack_uint64(pk, *(const uint64_t *)at);
+}
+
+static void put_i64(msgpack_packer *pk, const peer_msg_t *m, const void *at)
+{
+	(void)m;
+	msgpack_pack_int64(pk, *(const int64_t *)at);
+}
+
+static void put_list(msgpack_packer *pk, const peer_msg_t *m, const void *at)
+{
+	const host_list_t *l = at;
+	size_t i;
+
+	(void)m;
+	msgpack_pack_array(pk, 3);
+	msgpack_pack_uint64(pk, l->version);
+	msgpack_pack_array(pk, l->ndaemons);
+	for (i = 0; i < l->ndaemons; i++) {
+		msgpack_pack_array(pk, 4);
+		pack_str(pk, l->daemons[i].name);
+		pack_str(pk, l->daemons[i].dc);
+		pack_str(pk, l->daemons[i].peer);
+		msgpack_pack_uint64(pk, l->daemons[i].leaving);
+	}
+	msgpack_pack_array(pk, l->nleaving);
+	for (i = 0; i < l->nleaving; i++)
+		pack_str(pk, l->leaving[i]);
+}
+
+static void put_groups(msgpack_packer *pk, const peer_msg_t *m, const void *at)
+{
+	size_t i;
+
+	(void)at;
+	msgpack_pack_array(pk, m->ngroups);
+	for (i = 0; i < m->ngroups; i++)
+		pack_str(pk, m->groups[i]);
+}
+
+static void pack_hits(msgpack_packer *pk, const hit_t *hits, size_t n)
+{
+	size_t i;
+
+	msgpack_pack_array(pk, n);
+	for (i = 0; i < n; i++) {
+		msgpack_pack_array(pk, 3);
+		msgpack_pack_double(pk, hits[i].score);
+		pack_str(pk, hits[i].id);
+		pack_str(pk, hits[i].text);
+	}
+}
+
+static void put_parts(msgpack_packer *pk, const peer_msg_t *m, const void *at)
+{
+	const peer_part_t *p;
+	size_t i, j;
+
+	(void)at;
+	msgpack_pack_array(pk, m->nparts);
+	for (i = 0; i < m->nparts; i++) {
+		p = &m->parts[i];
+		msgpack_pack_array(pk, 4);
+		pack_str(pk, p->group);
+		msgpack_pack_uint64(pk, p->result);
+		msgpack_pack_array(pk, p->nheld * 2);
+		for (j = 0; j < p->nheld; j++) {
+			msgpack_pack_uint64(pk, p->held[j].map);
+			msgpack_pack_uint64(pk, p->held[j].snapshot);
+		}
+		pack_hits(pk, p->part ? p->part->hits : NULL,
+			  p->part ? p->part->nhits : 0);
+	}
+}
+
+static void put_hits(msgpack_packer *pk, const peer_msg_t *m, const void *at)
+{
+	(void)at;
+	pack_hits(pk, m->hits, m->nhits);
+}
+
+char *wire_encode(const peer_msg_t *m, size_t *sz)
+{
+	msgpack_sbuffer buf;
+	msgpack_packer pk;
+	size_t i;
+
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, wire_count(m->kind) + 2);
+	msgpack_pack_uint64(&pk, WIRE_VERSION);
+	msgpack_pack_uint64(&pk, m->kind);
+	for (i = 0; i < wire_nfields; i++)
+		if (wire_fields[i].kinds >> m->kind & 1)
+			puts_by_type[wire_fields[i].type](
+				&pk, m, (const char *)m + wire_fields[i].at);
+	*sz = buf.size;
+	return msgpack_sbuffer_release(&buf);
+}
