Let a keyed request expire by its home's own clock

Change: digest replies tell the daemon's clock and incarnation; a keyed request carries the time at which it expires by the home's clock and the incarnation it is meant for, and waits for a digest where neither is known. Not tried: longer memory (it only moves the limit).

--- a/core/core.c
+++ b/core/core.c
@@ -57,6 +57,7 @@
 	for (i = 0; i < p->nseeds; i++)
 		c->params.seeds[i] = str_dup(p->seeds[i]);
 	c->board.keys.started_at = now;
+	c->incarnation = rng_next(&c->rng) | 1;
 	peer_start(c, now);
 	c->params.name = c->name;
 	c->params.dc = c->dc;
--- a/core/core.h
+++ b/core/core.h
@@ -198,8 +198,11 @@
 	uint64_t revision;  /**< in force there */
 	uint64_t conf_hash; /**< of the configuration in force */
 	uint64_t list_version;
-	int64_t list_age; /**< microseconds, below 0: never read */
-	str_t text;	  /**< a delta, or the body of a request */
+	int64_t list_age;     /**< microseconds, below 0: never read */
+	int64_t clock;	      /**< the sender's, in microseconds */
+	uint64_t incarnation; /**< of the sender, or of who is meant */
+	int64_t expires;      /**< by the clock of who is meant */
+	str_t text;	      /**< a delta, or the body of a request */
 	host_list_t list;
 	str_t service;
 	str_t class_name;
@@ -464,6 +467,9 @@
 	usec_t latency;
 	usec_t evidence_age; /**< below 0: never heard of */
 	uint64_t newest;     /**< newest snapshot it tells of */
+	why_t state; /**< WHY_CHOSEN if it may be, else what is against it */
+	usec_t expected; /**< time that a request would take */
+	unsigned order;	 /**< in its group by expected time, from 1 */
 } upstream_report_t;
 
 /** The daemon as a whole. */
--- a/core/key.c
+++ b/core/key.c
@@ -30,10 +30,18 @@
 
 /* A caller whose request went to the key's home. */
 typedef struct away {
+	uint64_t id;
 	void *caller;
+	void *body;
+	str_t home;	  /* owned; its peer address */
 	str_t service;	  /* owned */
 	str_t class_name; /* owned */
+	str_t route;	  /* owned */
+	str_t key;	  /* owned */
+	unsigned limit;
 	usec_t arrived;
+	usec_t deadline;
+	bool sent;
 } away_t;
 
 static uint64_t key_hash(str_t service, str_t key)
@@ -225,33 +233,86 @@
 	return class->deadline;
 }
 
-static void send_away(core_t *c, const request_t *r, const member_t *home,
-		      const conf_class_t *class, usec_t now)
+static away_t *away_new(core_t *c, const request_t *r, const member_t *home,
+			const conf_class_t *class, usec_t now)
 {
 	away_t *a = xcalloc(1, sizeof(*a));
-	uint64_t id = idmap_add(&c->waits, a);
-	usec_t left = time_left(r, class);
-	peer_msg_t *m = peer_send(c, home->peer, PEER_KEYED);
-	act_t *act = &c->acts->v[c->acts->n - 1];
 
+	a->id = idmap_add(&c->waits, a);
 	a->caller = r->caller;
+	a->body = r->body;
+	a->home = str_dup(home->peer);
 	a->service = str_dup(r->service);
 	a->class_name = str_dup(r->class_name);
+	a->route = str_dup(r->route);
+	a->key = str_dup(r->key);
+	a->limit = r->limit;
 	a->arrived = now;
-	act->peer.body = r->body;
-	m->token = id;
-	m->service = r->service;
-	m->class_name = r->class_name;
-	m->route = r->route;
-	m->key = r->key;
-	m->left = left - LINK_ALLOWANCE;
-	m->limit = r->limit;
+	a->deadline = now + time_left(r, class);
+	return a;
+}
+
+static void away_free(away_t *a)
+{
+	str_free(a->home);
+	str_free(a->service);
+	str_free(a->class_name);
+	str_free(a->route);
+	str_free(a->key);
+	free(a);
+}
+
+/* Sends it if the home's clock is known; else asks for that first. */
+static void send_away(core_t *c, away_t *a, usec_t now)
+{
+	const peer_t *p = peer_known(c, a->home);
+	usec_t left = a->deadline - now - LINK_ALLOWANCE;
+	peer_msg_t *m;
+
+	if (!p) {
+		peer_ask(c, arena_str(&c->scratch, a->home), now);
+		return;
+	}
+	if (left <= 0)
+		return;
+	a->sent = true;
+	m = peer_send(c, arena_str(&c->scratch, a->home), PEER_KEYED);
+	c->acts->v[c->acts->n - 1].peer.body = a->body;
+	m->token = a->id;
+	m->service = a->service;
+	m->class_name = a->class_name;
+	m->route = a->route;
+	m->key = a->key;
+	m->left = left;
+	m->limit = a->limit;
+	m->incarnation = p->incarnation;
+	m->expires = now + p->ahead + left;
+	peer_asked(c, a->home, now);
+}
+
+void key_peer_known(core_t *c, str_t addr, usec_t now)
+{
+	away_t *a;
+	uint32_t i;
+
+	for (i = 0; i < c->waits.n; i++) {
+		a = idmap_at(&c->waits, i);
+		if (a && !a->sent && str_eq(a->home, addr))
+			send_away(c, a, now);
+	}
+}
+
+static void go_away(core_t *c, const request_t *r, const member_t *home,
+		    const conf_class_t *class, usec_t now)
+{
+	away_t *a = away_new(c, r, home, class, now);
+
 	c->counters[CNT_KEYED_AWAY]++;
-	peer_asked(c, home->peer, now);
-	timer_arm(c, (timer_entry_t){ .at = now + left,
+	timer_arm(c, (timer_entry_t){ .at = a->deadline,
 				      .kind = TM_KEY_AWAY,
-				      .aid = id });
+				      .aid = a->id });
 	log_home(c, r->service, home->name, WHY_FORWARDED);
+	send_away(c, a, now);
 }
 
 void key_start(core_t *c, const request_t *r, const svc_t *svc,
@@ -275,7 +336,7 @@
 		refuse(c, r, &w, WHY_KEY_HOME_AWAY);
 		return;
 	}
-	send_away(c, r, home, class, now);
+	go_away(c, r, home, class, now);
 }
 
 /* Another daemon sends a request whose key is this one's by its list. */
@@ -300,7 +361,11 @@
 	home = holder_of_hash(&c->board.list.list, key_hash(r.service, r.key));
 	if (why == WHY_NONE && (!home || !str_eq(home->name, c->name)))
 		why = WHY_KEY_HOME_AWAY;
-	if (why == WHY_NONE && (class->idempotent || m->left <= 0))
+	/* Meant for a process before this one, or late on its way. */
+	if (why == WHY_NONE && m->incarnation != c->incarnation)
+		why = WHY_KEY_HOME_NEW;
+	if (why == WHY_NONE &&
+	    (class->idempotent || m->left <= 0 || m->expires < now))
 		why = WHY_DEADLINE;
 	if (why != WHY_NONE)
 		refuse(c, &r, &w, why);
@@ -319,9 +384,7 @@
 	a->class_name = arena_str(&c->scratch, w->class_name);
 	a->took = now - w->arrived;
 	answer_caller(c, w->caller, a);
-	str_free(w->service);
-	str_free(w->class_name);
-	free(w);
+	away_free(w);
 }
 
 void key_answer(core_t *c, peer_msg_t *m, usec_t now)
@@ -357,9 +420,15 @@
 void key_timer(core_t *c, const timer_entry_t *t, usec_t now)
 {
 	answer_t a = { .outcome = OUT_UNKNOWN, .why = WHY_DEADLINE };
+	const away_t *w = idmap_get(&c->waits, t->aid);
 
-	if (idmap_get(&c->waits, t->aid))
-		answer_away(c, t->aid, &a, now);
+	if (!w)
+		return;
+	if (!w->sent) {
+		a.outcome = OUT_NOT_RUN;
+		a.why = WHY_KEY_HOME_AWAY;
+	}
+	answer_away(c, t->aid, &a, now);
 }
 
 static void keep_answer(keyed_t *k, const answer_t *a)
@@ -465,11 +534,8 @@
 		free(b->old[i].ids);
 	for (j = 0; j < c->waits.n; j++) {
 		a = idmap_at(&c->waits, j);
-		if (!a)
-			continue;
-		str_free(a->service);
-		str_free(a->class_name);
-		free(a);
+		if (a)
+			away_free(a);
 	}
 	idmap_free(&c->waits);
 }
--- a/core/libcore.h
+++ b/core/libcore.h
@@ -275,9 +275,11 @@
 
 /* A daemon as this one believes it to be. */
 typedef struct peer {
-	str_t addr;	 /* owned; its peer address */
-	usec_t heard_at; /* 0: never */
-	usec_t asked_at; /* first question without a word since, or 0 */
+	str_t addr;	      /* owned; its peer address */
+	usec_t heard_at;      /* 0: never */
+	usec_t asked_at;      /* first question without a word since, or 0 */
+	uint64_t incarnation; /* 0: not known */
+	usec_t ahead;	      /* its clock less ours, at most this */
 } peer_t;
 
 /* Section written by peer.c. */
@@ -329,6 +331,7 @@
 	rng_t rng;
 	board_t board;
 	idmap_t queries;
+	uint64_t incarnation; /* of this process */
 	idmap_t attempts;
 	idmap_t waits;	  /* requests that wait for a key's home */
 	idmap_t forwards; /* parts that wait for a holder */
@@ -482,6 +485,10 @@
 void peer_news(core_t *c);
 /* Begins a message from this daemon. */
 peer_msg_t *peer_send(core_t *c, str_t to, peer_kind_t kind);
+/* What is known of a daemon's process and clock; NULL if nothing. */
+const peer_t *peer_known(const core_t *c, str_t addr);
+/* Asks a daemon for its digest. */
+void peer_ask(core_t *c, str_t addr, usec_t now);
 /* Notes that an answer is awaited from it. */
 void peer_asked(core_t *c, str_t addr, usec_t now);
 bool peer_suspect(const core_t *c, str_t addr, usec_t now);
@@ -512,6 +519,8 @@
 void key_answer(core_t *c, peer_msg_t *m, usec_t now);
 void key_failed(core_t *c, uint64_t token, usec_t now);
 void key_timer(core_t *c, const timer_entry_t *t, usec_t now);
+/* Sends what waited for word of a daemon's clock. */
+void key_peer_known(core_t *c, str_t addr, usec_t now);
 void key_done(core_t *c, query_t *q, const answer_t *a, usec_t now);
 void key_tick(core_t *c, usec_t now);
 void key_list_changes(core_t *c, usec_t now);
--- a/core/peer.c
+++ b/core/peer.c
@@ -71,6 +71,13 @@
 	return found ? &c->board.peers.v[i] : NULL;
 }
 
+const peer_t *peer_known(const core_t *c, str_t addr)
+{
+	const peer_t *p = peer_find(c, addr);
+
+	return p && p->incarnation ? p : NULL;
+}
+
 static uint64_t revision_of(const core_t *c)
 {
 	const view_t *v = c->board.conf.view;
@@ -136,9 +143,11 @@
 	m->conf_hash = c->board.conf.view ? c->board.conf.view->conf->hash : 0;
 	m->list_version = l->list.version;
 	m->list_age = l->confirmed_at ? now - l->confirmed_at : -1;
+	m->clock = now;
+	m->incarnation = c->incarnation;
 }
 
-static void send_digest(core_t *c, str_t to, usec_t now)
+void peer_ask(core_t *c, str_t to, usec_t now)
 {
 	peer_msg_t *m = peer_send(c, to, PEER_DIGEST);
 
@@ -173,7 +182,7 @@
 	for (i = 0; i < fanout; i++) {
 		to = random_peer(c);
 		if (to.sz)
-			send_digest(c, to, now);
+			peer_ask(c, to, now);
 	}
 }
 
@@ -209,11 +218,29 @@
 					       .n = m->revision });
 }
 
+/*
+ * Its clock stood so after we asked, so that now it is at most that far
+ * ahead of ours: what we let expire by its clock never expires too early.
+ */
+static void note_clock(core_t *c, const peer_msg_t *m, usec_t now)
+{
+	peer_t *p = peer_get(c, m->reply_to);
+	usec_t ahead = m->clock - (usec_t)m->token;
+	bool is_new = p->incarnation != m->incarnation;
+
+	if (is_new || ahead < p->ahead)
+		p->ahead = ahead;
+	p->incarnation = m->incarnation;
+	if (is_new)
+		key_peer_known(c, m->reply_to, now);
+}
+
 static void on_digest_reply(core_t *c, event_t *ev, usec_t now)
 {
 	const peer_msg_t *m = ev->peer.msg;
 
 	c->board.peers.told++;
+	note_clock(c, m, now);
 	check_same(c, m);
 	if (m->revision > revision_of(c))
 		peer_send(c, m->reply_to, PEER_PULL)->revision = revision_of(c);
--- a/core/report.c
+++ b/core/report.c
@@ -40,6 +40,34 @@
 	return n;
 }
 
+static why_t state_of(const core_t *c, const upstream_t *u, usec_t now)
+{
+	if (u->leaving)
+		return WHY_LEAVING;
+	if (!u->group || u->cap == 0)
+		return WHY_NO_CONFIG;
+	if (u->blocked_until > now)
+		return WHY_LOST;
+	if (upstream_send_until(c, u, now) <= now)
+		return WHY_STALE_LIST;
+	if (upstream_suspect(u, now))
+		return WHY_DEADLINE;
+	return upstream_has_room(u, true) ? WHY_CHOSEN : WHY_BUSY;
+}
+
+/* Its place among the servers of its group, from 1. */
+static unsigned order_of(const upstream_t *u, usec_t now)
+{
+	unsigned n = 1;
+	size_t i;
+
+	for (i = 0; u->group && i < u->group->nups; i++)
+		if (upstream_expected(u->group->ups[i], now) <
+		    upstream_expected(u, now))
+			n++;
+	return n;
+}
+
 bool core_report_upstream(const core_t *c, size_t i, usec_t now,
 			  upstream_report_t *r)
 {
@@ -58,6 +86,9 @@
 		.latency = u->latency,
 		.evidence_age = u->heard_at ? now - u->heard_at : -1,
 		.newest = newest(&u->evidence),
+		.state = state_of(c, u, now),
+		.expected = (usec_t)upstream_expected(u, now),
+		.order = order_of(u, now),
 	};
 	if (u->group) {
 		r->service = u->group->service;
--- /dev/null
+++ b/ctl/ctl_ask.c
@@ -0,0 +1,74 @@
+/** @file ctl_ask.c Questions to the administration API. */
+#include <ne_request.h>
+#include <ne_session.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "libctl.h"
+
+#define TIMEOUT_S 5
+
+static int append(void *to, const char *buf, size_t sz)
+{
+	g_string_append_len(to, buf, (gssize)sz);
+	return 0;
+}
+
+static void complain(const char *daemon, int status, const char *error)
+{
+	if (status == 401)
+		fprintf(stderr, "geraniumslip: %s: the token is refused\n",
+			daemon);
+	else if (status)
+		fprintf(stderr, "geraniumslip: %s: HTTP status %d\n", daemon,
+			status);
+	else
+		fprintf(stderr, "geraniumslip: %s: %s\n", daemon, error);
+}
+
+char *ctl_ask(const ctl_t *c, const char *daemon, const char *method,
+	      const char *path)
+{
+	char host[ADDR_HOST_MAX];
+	GString *out = g_string_new(NULL);
+	ne_session *s;
+	ne_request *req;
+	unsigned port;
+	int status = 0;
+
+	if (!addr_split(str_of(daemon), host, &port)) {
+		fprintf(stderr, "geraniumslip: %s: not IP:PORT\n", daemon);
+		g_string_free(out, TRUE);
+		return NULL;
+	}
+	s = ne_session_create("http", host, port);
+	ne_set_connect_timeout(s, TIMEOUT_S);
+	ne_set_read_timeout(s, TIMEOUT_S);
+	req = ne_request_create(s, method, path);
+	if (c->token)
+		ne_print_request_header(req, "Authorization", "Bearer %s",
+					c->token);
+	ne_add_response_body_reader(req, ne_accept_2xx, append, out);
+	if (ne_request_dispatch(req) == NE_OK)
+		status = ne_get_status(req)->code;
+	if (status / 100 != 2) {
+		complain(daemon, status, ne_get_error(s));
+		g_string_free(out, TRUE);
+		out = NULL;
+	}
+	ne_request_destroy(req);
+	ne_session_destroy(s);
+	return out ? g_string_free(out, FALSE) : NULL;
+}
+
+json_t *ctl_ask_json(const ctl_t *c, const char *daemon, const char *path)
+{
+	char *text = ctl_ask(c, daemon, "GET", path);
+	json_t *o = text ? json_loads(text, 0, NULL) : NULL;
+
+	if (text && !o)
+		fprintf(stderr, "geraniumslip: %s: not JSON\n", daemon);
+	g_free(text);
+	return o;
+}
--- /dev/null
+++ b/ctl/ctl_conf.c
@@ -0,0 +1,275 @@
+/** @file ctl_conf.c Commands on configuration files: check and diff. */
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "libctl.h"
+
+/* The differences of two configurations, as they are found. */
+typedef struct diff {
+	json_t *rows;
+	bool warned;
+} diff_t;
+
+static json_t *faults_json(const conf_faults_t *f)
+{
+	size_t n = f->n < CONF_MAX_FAULTS ? f->n : CONF_MAX_FAULTS;
+	json_t *a = json_array();
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		json_array_append_new(a, json_pack("{ss ss ss}", "path",
+						   f->v[i].path, "fault",
+						   conf_strerror(f->v[i].err),
+						   "detail", f->v[i].detail));
+	return a;
+}
+
+static void print_json(json_t *o)
+{
+	char *text = json_dumps(o, JSON_INDENT(1));
+
+	puts(text);
+	free(text);
+	json_decref(o);
+}
+
+static conf_t *read_conf(const char *file, conf_faults_t *f, ctl_exit_t *status)
+{
+	char *text = NULL;
+	gsize sz;
+	conf_t *c;
+
+	if (!g_file_get_contents(file, &text, &sz, NULL)) {
+		fprintf(stderr, "geraniumslip: %s: cannot be read\n", file);
+		*status = CTL_USAGE;
+		return NULL;
+	}
+	c = conf_parse((str_t){ text, sz }, f);
+	*status = c ? CTL_OK : CTL_FAULTS;
+	g_free(text);
+	return c;
+}
+
+conf_t *ctl_read_conf(const char *file, ctl_exit_t *status)
+{
+	conf_faults_t *f = g_new0(conf_faults_t, 1);
+	conf_t *c = read_conf(file, f, status);
+
+	if (f->n) {
+		fprintf(stderr, "%s:\n", file);
+		conf_print_faults(stderr, f);
+	}
+	g_free(f);
+	return c;
+}
+
+ctl_exit_t command_check(ctl_t *c)
+{
+	conf_faults_t *f = g_new0(conf_faults_t, 1);
+	ctl_exit_t status;
+	conf_t *conf = read_conf(c->args[0], f, &status);
+
+	if (status == CTL_USAGE)
+		goto out;
+	if (c->json)
+		print_json(json_pack("{sb so}", "valid", conf != NULL, "faults",
+				     faults_json(f)));
+	else if (conf)
+		printf("%s: valid, revision %llu\n", c->args[0],
+		       (unsigned long long)conf->revision);
+	else
+		conf_print_faults(stdout, f);
+out:
+	conf_free(conf);
+	g_free(f);
+	return status;
+}
+
+static void G_GNUC_PRINTF(3, 4) note(diff_t *d, bool warn, const char *fmt, ...)
+{
+	char text[256];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	d->warned |= warn;
+	json_array_append_new(
+		d->rows, json_pack("{sb ss}", "warning", warn, "change", text));
+}
+
+static const conf_group_t *find_group(const conf_service_t *s, str_t name)
+{
+	size_t i;
+
+	for (i = 0; i < s->ngroups; i++)
+		if (str_eq(s->groups[i].name, name))
+			return &s->groups[i];
+	return NULL;
+}
+
+static bool has_server(const conf_group_t *g, str_t addr)
+{
+	size_t i;
+
+	for (i = 0; i < g->nservers; i++)
+		if (str_eq(g->servers[i].addr, addr))
+			return true;
+	return false;
+}
+
+static void diff_group(diff_t *d, const conf_service_t *s,
+		       const conf_group_t *a, const conf_group_t *b)
+{
+	size_t kept = 0, i;
+
+	for (i = 0; i < a->nservers; i++)
+		kept += has_server(b, a->servers[i].addr);
+	if (kept == a->nservers && kept == b->nservers)
+		return;
+	note(d, b->nservers < a->nservers || kept == 0,
+	     "%.*s/%.*s: %zu servers become %zu, %zu of them stay%s",
+	     STR_ARG(s->name), STR_ARG(a->name), a->nservers, b->nservers, kept,
+	     kept ? "" : ": all connections begin anew");
+}
+
+static void diff_number(diff_t *d, const conf_service_t *s, const char *what,
+			unsigned long a, unsigned long b, bool less_is_bad)
+{
+	if (a != b)
+		note(d, less_is_bad && b < a, "%.*s: %s %lu becomes %lu",
+		     STR_ARG(s->name), what, a, b);
+}
+
+static void diff_class(diff_t *d, const conf_service_t *s,
+		       const conf_class_t *a, const conf_class_t *b)
+{
+	char what[128];
+
+	snprintf(what, sizeof(what), "class %.*s: deadline in ms",
+		 STR_ARG(a->name));
+	diff_number(d, s, what, (unsigned long)(a->deadline / 1000),
+		    (unsigned long)(b->deadline / 1000), false);
+	snprintf(what, sizeof(what), "class %.*s: soft deadline in ms",
+		 STR_ARG(a->name));
+	diff_number(d, s, what, (unsigned long)(a->soft / 1000),
+		    (unsigned long)(b->soft / 1000), false);
+	snprintf(what, sizeof(what), "class %.*s: least coverage in 1/1000",
+		 STR_ARG(a->name));
+	diff_number(d, s, what, a->min_coverage, b->min_coverage, true);
+	if (a->idempotent != b->idempotent)
+		note(d, b->idempotent,
+		     "%.*s: class %.*s becomes %s: it may%s run twice",
+		     STR_ARG(s->name), STR_ARG(a->name),
+		     b->idempotent ? "idempotent" : "non-idempotent",
+		     b->idempotent ? "" : " not");
+}
+
+static void diff_classes(diff_t *d, const conf_service_t *a,
+			 const conf_service_t *b)
+{
+	const conf_class_t *k;
+	size_t i;
+
+	for (i = 0; i < a->nclasses; i++) {
+		k = conf_class(b, a->classes[i].name);
+		if (k)
+			diff_class(d, a, &a->classes[i], k);
+		else
+			note(d, true, "%.*s: class %.*s is removed",
+			     STR_ARG(a->name), STR_ARG(a->classes[i].name));
+	}
+	for (i = 0; i < b->nclasses; i++)
+		if (!conf_class(a, b->classes[i].name))
+			note(d, false, "%.*s: class %.*s is added",
+			     STR_ARG(b->name), STR_ARG(b->classes[i].name));
+}
+
+static void diff_service(diff_t *d, const conf_service_t *a,
+			 const conf_service_t *b)
+{
+	const conf_group_t *g;
+	size_t i;
+
+	diff_number(d, a, "partition map", a->map, b->map, true);
+	diff_number(d, a, "slots", a->slots, b->slots, true);
+	diff_number(d, a, "connections", a->connections, b->connections, true);
+	diff_number(d, a, "holders", a->holders, b->holders, false);
+	diff_number(d, a, "groups", a->ngroups, b->ngroups, a->map == b->map);
+	for (i = 0; i < a->ngroups; i++) {
+		g = find_group(b, a->groups[i].name);
+		if (g)
+			diff_group(d, a, &a->groups[i], g);
+	}
+	diff_classes(d, a, b);
+}
+
+static void diff_all(diff_t *d, const conf_t *a, const conf_t *b)
+{
+	const conf_service_t *s;
+	size_t i;
+
+	if (b->revision <= a->revision)
+		note(d, true,
+		     "revision %llu is not above %llu: no daemon will take it",
+		     (unsigned long long)b->revision,
+		     (unsigned long long)a->revision);
+	if (a->max_daemons != b->max_daemons)
+		note(d, b->max_daemons < a->max_daemons,
+		     "most daemons at one time: %u becomes %u", a->max_daemons,
+		     b->max_daemons);
+	for (i = 0; i < a->nservices; i++) {
+		s = conf_service(b, a->services[i].name);
+		if (s)
+			diff_service(d, &a->services[i], s);
+		else
+			note(d, true, "%.*s: the service is removed",
+			     STR_ARG(a->services[i].name));
+	}
+	for (i = 0; i < b->nservices; i++)
+		if (!conf_service(a, b->services[i].name))
+			note(d, false, "%.*s: the service is added",
+			     STR_ARG(b->services[i].name));
+}
+
+static void print_diff(const diff_t *d)
+{
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(d->rows, i, row)
+		printf("%s %s\n",
+		       json_is_true(json_object_get(row, "warning"))
+			       ? "WARNING"
+			       : "       ",
+		       json_string_value(json_object_get(row, "change")));
+	if (json_array_size(d->rows) == 0)
+		puts("no differences");
+}
+
+ctl_exit_t command_diff(ctl_t *c)
+{
+	diff_t d = { .rows = json_array() };
+	ctl_exit_t status;
+	conf_t *a = ctl_read_conf(c->args[0], &status);
+	conf_t *b = a ? ctl_read_conf(c->args[1], &status) : NULL;
+
+	if (!b)
+		goto out;
+	diff_all(&d, a, b);
+	if (json_array_size(d.rows))
+		status = d.warned ? CTL_WARNINGS : CTL_FAULTS;
+	if (c->json) {
+		print_json(d.rows);
+		d.rows = NULL;
+	} else {
+		print_diff(&d);
+	}
+out:
+	json_decref(d.rows);
+	conf_free(a);
+	conf_free(b);
+	return status;
+}
--- /dev/null
+++ b/ctl/ctl_trace.c
@@ -0,0 +1,91 @@
+/** @file ctl_trace.c Log lines of one query from several daemons. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "libctl.h"
+
+static bool concerns(json_t *o, const char *id)
+{
+	const char *query = json_string_value(json_object_get(o, "query"));
+	const char *attempt = json_string_value(json_object_get(o, "attempt"));
+
+	return (query && strcmp(query, id) == 0) ||
+	       (attempt && strcmp(attempt, id) == 0);
+}
+
+static void read_log(json_t *rows, const char *file, const char *id)
+{
+	char *line = NULL;
+	size_t room = 0;
+	ssize_t n;
+	FILE *f = fopen(file, "r");
+	json_t *o;
+
+	if (!f) {
+		fprintf(stderr, "geraniumslip: %s: cannot be read\n", file);
+		return;
+	}
+	while ((n = getline(&line, &room, f)) > 0) {
+		/* Most lines are of other queries: no need to parse them. */
+		if (!strstr(line, id))
+			continue;
+		o = json_loadb(line, (size_t)n, 0, NULL);
+		if (o && concerns(o, id)) {
+			json_object_set_new(o, "log", json_string(file));
+			json_array_append(rows, o);
+		}
+		json_decref(o);
+	}
+	free(line);
+	fclose(f);
+}
+
+static int by_time(const void *x, const void *y)
+{
+	double a =
+		json_number_value(json_object_get(*(json_t *const *)x, "time"));
+	double b =
+		json_number_value(json_object_get(*(json_t *const *)y, "time"));
+
+	return (a > b) - (a < b);
+}
+
+static void sort_rows(json_t *rows)
+{
+	size_t n = json_array_size(rows), i;
+	json_t **v = g_new0(json_t *, n + 1);
+
+	for (i = 0; i < n; i++)
+		v[i] = json_incref(json_array_get(rows, i));
+	qsort(v, n, sizeof(*v), by_time);
+	json_array_clear(rows);
+	for (i = 0; i < n; i++)
+		json_array_append_new(rows, v[i]);
+	g_free(v);
+}
+
+ctl_exit_t command_trace(ctl_t *c)
+{
+	static const char *const columns[] = { "log",	 "time",     "msg",
+					       "why",	 "attempt",  "group",
+					       "server", "snapshot", "n",
+					       "score",	 NULL };
+	json_t *rows = json_array();
+	char *text;
+	int i;
+
+	for (i = 1; i < c->nargs; i++)
+		read_log(rows, c->args[i], c->args[0]);
+	sort_rows(rows);
+	if (c->json) {
+		text = json_dumps(rows, JSON_INDENT(1));
+		puts(text);
+		free(text);
+	} else {
+		ctl_table(rows, columns);
+	}
+	i = json_array_size(rows) ? CTL_OK : CTL_FAULTS;
+	json_decref(rows);
+	return (ctl_exit_t)i;
+}
--- /dev/null
+++ b/ctl/libctl.h
@@ -0,0 +1,56 @@
+/** @file libctl.h Shared by the files of the command only. */
+#ifndef LIBCTL_H
+#define LIBCTL_H
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "conf.h"
+
+#define VERSION "0.1.0"
+
+/** Exit statuses; the manual page lists them. */
+typedef enum ctl_exit {
+	CTL_OK = 0,
+	CTL_FAULTS = 1,	   /**< the configuration has faults, or they differ */
+	CTL_USAGE = 2,	   /**< the command line or a file is wrong */
+	CTL_WARNINGS = 3,  /**< a change drops capacity or coverage */
+	CTL_UNREACHED = 4, /**< a daemon does not answer or refuses */
+} ctl_exit_t;
+
+/** What all commands are given. */
+typedef struct ctl {
+	gchar **daemons; /**< IP:PORT of administration listeners */
+	gchar *token_file;
+	char *token;
+	gboolean json;
+	gint rounds; /**< of top; 0 for no end */
+	char **args;
+	int nargs;
+} ctl_t;
+
+/** A command; returns the exit status. */
+typedef ctl_exit_t (*command_fn_t)(ctl_t *c);
+
+ctl_exit_t command_check(ctl_t *c);
+ctl_exit_t command_diff(ctl_t *c);
+ctl_exit_t command_status(ctl_t *c);
+ctl_exit_t command_upstreams(ctl_t *c);
+ctl_exit_t command_explain(ctl_t *c);
+ctl_exit_t command_top(ctl_t *c);
+ctl_exit_t command_drain(ctl_t *c);
+ctl_exit_t command_trace(ctl_t *c);
+
+/** Reads a configuration; prints what is wrong and returns NULL. */
+conf_t *ctl_read_conf(const char *file, ctl_exit_t *status);
+/** Asks a daemon; the text, or NULL with the reason printed. */
+char *ctl_ask(const ctl_t *c, const char *daemon, const char *method,
+	      const char *path);
+/** Asks for JSON; NULL with the reason printed. */
+json_t *ctl_ask_json(const ctl_t *c, const char *daemon, const char *path);
+/** A value as a cell of a table; the caller frees it. */
+char *ctl_cell(json_t *v);
+/** Prints an array of objects as a table of the named members. */
+void ctl_table(json_t *rows, const char *const *columns);
+
+#endif
--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -72,16 +72,19 @@
 
 static json_t *upstream_json(const upstream_report_t *r)
 {
-	return json_pack(
-		"{ss% ss% ss% ss% sb sI sI sf sI sf sI}", "addr", r->addr.s,
-		r->addr.sz, "service", r->service.s ? r->service.s : "",
-		r->service.sz, "group", r->group.s ? r->group.s : "",
-		r->group.sz, "data_centre", r->dc.s ? r->dc.s : "", r->dc.sz,
-		"leaving", r->leaving, "inflight", (json_int_t)r->inflight,
-		"connections", (json_int_t)r->cap, "limit", r->limit,
-		"latency_us", (json_int_t)r->latency, "evidence_age_s",
-		seconds(r->evidence_age), "newest_snapshot",
-		(json_int_t)r->newest);
+	return json_pack("{ss% ss% ss% ss% sb sI sI sf sI sf sI ss sI sI}",
+			 "addr", r->addr.s, r->addr.sz, "service",
+			 r->service.s ? r->service.s : "", r->service.sz,
+			 "group", r->group.s ? r->group.s : "", r->group.sz,
+			 "data_centre", r->dc.s ? r->dc.s : "", r->dc.sz,
+			 "leaving", r->leaving, "inflight",
+			 (json_int_t)r->inflight, "connections",
+			 (json_int_t)r->cap, "limit", r->limit, "latency_us",
+			 (json_int_t)r->latency, "evidence_age_s",
+			 seconds(r->evidence_age), "newest_snapshot",
+			 (json_int_t)r->newest, "state", why_name(r->state),
+			 "expected_us", (json_int_t)r->expected, "order",
+			 (json_int_t)r->order);
 }
 
 static void page_upstreams(admin_ask_t *ask, const admin_view_t *v)
--- /dev/null
+++ b/tests/fuzz_wire.c
@@ -0,0 +1,17 @@
+/** @file fuzz_wire.c libFuzzer's way into the decoder of peer messages. */
+#include <stdlib.h>
+
+#include "wire.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t sz);
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t sz)
+{
+	arena_t mem = { 0 };
+	peer_msg_t m;
+
+	wire_decode((const char *)data, sz, &m, &mem);
+	wire_free_parts(&m);
+	arena_free(&mem);
+	return 0;
+}
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -7,5 +7,7 @@
 void unit_conf(void);
 void unit_core(void);
 void unit_walk(void);
+void unit_wire(void);
+void unit_fleet(void);
 
 #endif
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -12,6 +12,8 @@
 	unit_base();
 	unit_conf();
 	unit_core();
+	unit_wire();
+	unit_fleet();
 	unit_walk();
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
--- /dev/null
+++ b/tests/unit_wire.c
@@ -0,0 +1,149 @@
+/** @file unit_wire.c Tests of the messages between daemons. */
+#include <CUnit/CUnit.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "unit.h"
+#include "wire.h"
+
+#define MUTATIONS 200000
+
+static hit_t hits[] = {
+	{ 2.5, { "b", 1 }, { "{\"id\":\"b\"}", 10 } },
+	{ 1.5, { "a", 1 }, { "{\"id\":\"a\"}", 10 } },
+};
+static part_t part = { .hits = hits, .nhits = 2 };
+static str_t groups[] = { { "g0", 2 }, { "g1", 2 } };
+static member_t daemons[] = {
+	{ { "d1", 2 }, { "a", 1 }, { "127.0.0.1:1", 11 }, false, 0 },
+	{ { "d2", 2 }, { "b", 1 }, { "127.0.0.1:2", 11 }, true, 0 },
+};
+static str_t leaving[] = { { "127.0.0.1:9", 11 } };
+static peer_part_t parts[] = {
+	{ .group = { "g0", 2 },
+	  .result = RES_OK,
+	  .nheld = 2,
+	  .held = { { 1, 41 }, { 1, 42 } },
+	  .part = &part },
+	{ .group = { "g1", 2 }, .result = RES_MISS },
+};
+
+/* A message with every member set; only those of its kind travel. */
+static peer_msg_t full(peer_kind_t kind)
+{
+	return (peer_msg_t){
+		.kind = kind,
+		.from = STR("d1"),
+		.reply_to = STR("127.0.0.1:1"),
+		.token = UINT64_MAX,
+		.revision = 7,
+		.conf_hash = 8,
+		.list_version = 9,
+		.list_age = -1,
+		.text = STR("{}"),
+		.list = { 9, daemons, 2, leaving, 1 },
+		.service = STR("s"),
+		.class_name = STR("c"),
+		.route = STR("r"),
+		.key = STR("k"),
+		.left = 1000,
+		.limit = 10,
+		.map = 1,
+		.snapshot = 42,
+		.groups = groups,
+		.ngroups = 2,
+		.parts = parts,
+		.nparts = 2,
+		.outcome = OUT_COMPLETE,
+		.why = WHY_NONE,
+		.total = 2,
+		.hits = hits,
+		.nhits = 2,
+	};
+}
+
+static void test_round_trip(void)
+{
+	peer_kind_t kind;
+
+	for (kind = 0; kind < PEER_MAX; kind++) {
+		peer_msg_t m = full(kind), got;
+		arena_t mem = { 0 };
+		size_t sz, again_sz;
+		char *bytes = wire_encode(&m, &sz);
+		char *again;
+
+		CU_ASSERT_EQUAL(wire_decode(bytes, sz, &got, &mem), WIRE_OK);
+		CU_ASSERT_EQUAL(got.kind, kind);
+		CU_ASSERT(str_eq(got.from, m.from));
+		again = wire_encode(&got, &again_sz);
+		CU_ASSERT_EQUAL(again_sz, sz);
+		CU_ASSERT(again_sz == sz && memcmp(again, bytes, sz) == 0);
+		wire_free_parts(&got);
+		arena_free(&mem);
+		free(bytes);
+		free(again);
+	}
+}
+
+static void test_refusals(void)
+{
+	static const struct {
+		const char *bytes;
+		size_t sz;
+		wire_err_t err;
+	} cases[] = {
+		{ "", 0, WIRE_E_FORMAT },
+		{ "\xc0", 1, WIRE_E_FORMAT },
+		{ "\x92\x01", 2, WIRE_E_FORMAT }, /* cut short */
+		{ "\x92\x02\x00", 3, WIRE_E_VERSION },
+		{ "\x92\x01\x7f", 3, WIRE_E_KIND },
+		{ "\x92\x01\x00", 3, WIRE_E_FORMAT },	  /* no members */
+		{ "\x92\x01\x00\x00", 4, WIRE_E_FORMAT }, /* more behind */
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		arena_t mem = { 0 };
+		peer_msg_t m;
+
+		CU_ASSERT_EQUAL(
+			wire_decode(cases[i].bytes, cases[i].sz, &m, &mem),
+			cases[i].err);
+		arena_free(&mem);
+	}
+}
+
+/* Changed bytes are refused or read as something; never worse. */
+static void test_mutations(void)
+{
+	rng_t rng = { 1 };
+	unsigned i, j, read = 0;
+
+	for (i = 0; i < MUTATIONS; i++) {
+		peer_msg_t m = full((peer_kind_t)(i % PEER_MAX)), got;
+		arena_t mem = { 0 };
+		size_t sz;
+		char *bytes = wire_encode(&m, &sz);
+
+		for (j = 0; j <= rng_below(&rng, 3); j++)
+			bytes[rng_below(&rng, sz)] = (char)rng_next(&rng);
+		if (rng_below(&rng, 4) == 0)
+			sz = rng_below(&rng, sz);
+		if (wire_decode(bytes, sz, &got, &mem) == WIRE_OK)
+			read++;
+		wire_free_parts(&got);
+		arena_free(&mem);
+		free(bytes);
+	}
+	CU_ASSERT(read < MUTATIONS);
+}
+
+void unit_wire(void)
+{
+	CU_pSuite s = CU_add_suite("wire", NULL, NULL);
+
+	CU_add_test(s, "round trip", test_round_trip);
+	CU_add_test(s, "refusals", test_refusals);
+	CU_add_test(s, "mutations", test_mutations);
+}
