Add the experiment tool, more settings of policy, link delays in the stand-in

Cause: policies could not be compared side by side.

Change: experiment runs one script per variant and prints latency, coverage and load over the least needed; hedge and retry budgets are settings; the upstream stand-in delays replies to other data centres. The address sanitizer's run of all 27 scenarios passed; its leak report was of the scenario runner itself, which frees its calls now.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 PKGS = glib-2.0 libmicrohttpd neon jansson liburcu-bp libxxhash libzmq msgpack
 CFLAGS_ALL = -std=gnu11 -D_GNU_SOURCE $(OPT) -Wall -Wextra -Werror -Wshadow \
 	-Wstrict-prototypes -Wmissing-prototypes -Wformat=2 -pthread \
-	$(SAN) $(addprefix -I,base conf core wire daemon standin) \
+	$(SAN) $(addprefix -I,base conf core wire daemon standin tests) \
 	$(shell pkg-config --cflags $(PKGS) cunit) $(CFLAGS)
 LIBS = $(SAN) $(shell pkg-config --libs $(PKGS)) -lm -pthread
 
@@ -24,7 +24,7 @@
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
 
 PROGRAMS = geraniumslipd standin-upstream standin-platform scenario \
-	unit deploy-marea-viva deploy-balapan
+	experiment unit deploy-marea-viva deploy-balapan
 ifneq ($(CTL),)
 PROGRAMS += geraniumslip
 endif
@@ -51,6 +51,10 @@
 $(BUILD)/scenario: $(call obj,$(BASE) $(CONF) $(LAB) $(SCENARIO))
 	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
 
+PLAY = $(filter-out tests/scenario_main.c,$(SCENARIO))
+$(BUILD)/experiment: $(call obj,$(BASE) $(CONF) $(LAB) $(PLAY) standin/experiment.c)
+	$(CC) -o $@ $^ $(LIBS)
+
 UNIT = $(wildcard tests/unit_*.c)
 $(BUILD)/unit: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) $(UNIT))
 	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
--- a/daemon/engine.c
+++ b/daemon/engine.c
@@ -451,6 +451,12 @@
 	p.seed = s->seed ? s->seed : str_hash(p.name, (uint64_t)clock_now());
 	if (s->policy)
 		p.policy = policy_by_name(str_of(s->policy));
+	if (s->hedge_percentile != UINT32_MAX)
+		p.hedge_quantile = s->hedge_percentile / 100.0;
+	if (s->hedge_budget != UINT32_MAX)
+		p.hedge_budget = s->hedge_budget / 100.0;
+	if (s->retry_budget != UINT32_MAX)
+		p.retry_budget = s->retry_budget / 100.0;
 	e->core = core_new(&p, clock_now());
 	free(p.seeds);
 	e->wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
--- a/daemon/libdaemon.h
+++ b/daemon/libdaemon.h
@@ -43,8 +43,11 @@
 	char *peer_public;
 	char *policy;
 	char *log_level;
-	unsigned stop_grace_ms; /* the balancer's lag */
-	unsigned stop_limit_ms; /* longest wait for open requests */
+	unsigned stop_grace_ms;	   /* the balancer's lag */
+	unsigned stop_limit_ms;	   /* longest wait for open requests */
+	unsigned hedge_percentile; /* UINT32_MAX for the default, as below */
+	unsigned hedge_budget;	   /* percent of first attempts */
+	unsigned retry_budget;	   /* percent of first attempts */
 	unsigned seed;
 } settings_t;
 
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -34,6 +34,9 @@
 	{ "log_level", K_STRING, AT(log_level), false, 0 },
 	{ "stop_grace_ms", K_NUMBER, AT(stop_grace_ms), false, 600000 },
 	{ "stop_limit_ms", K_NUMBER, AT(stop_limit_ms), false, 600000 },
+	{ "hedge_percentile", K_NUMBER, AT(hedge_percentile), false, 99 },
+	{ "hedge_budget_percent", K_NUMBER, AT(hedge_budget), false, 100 },
+	{ "retry_budget_percent", K_NUMBER, AT(retry_budget), false, 100 },
 	{ "seed", K_NUMBER, AT(seed), false, UINT32_MAX },
 };
 
@@ -182,7 +185,11 @@
 	unsigned faults;
 	json_t *root;
 
-	*s = (settings_t){ .stop_grace_ms = 2000, .stop_limit_ms = 30000 };
+	*s = (settings_t){ .stop_grace_ms = 2000,
+			   .stop_limit_ms = 30000,
+			   .hedge_percentile = UINT32_MAX,
+			   .hedge_budget = UINT32_MAX,
+			   .retry_budget = UINT32_MAX };
 	root = json_load_file(file, JSON_REJECT_DUPLICATES, &err);
 	if (!root) {
 		fprintf(stderr, "%s: line %d: %s\n", file, err.line, err.text);
--- /dev/null
+++ b/standin/experiment.c
@@ -0,0 +1,205 @@
+/**
+ * @file experiment.c
+ * Runs a script once for each variant that its "compare" lines name, side by
+ * side in time, and prints a table for each load: latency, coverage and the
+ * load on servers over the least needed. docs/SCENARIOS.md has the language.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "scenario.h"
+#include "standin.h"
+
+#define MAX_VARIANTS 16
+
+/* Totals of one load under one variant. */
+typedef struct totals {
+	char load[64];
+	hist_t times;
+	unsigned calls;
+	unsigned complete;
+	unsigned partial;
+	unsigned not_run;
+	unsigned unknown;
+	double answered; /* groups */
+	double wanted;
+	double runs;
+} totals_t;
+
+/* Splits "policy=two" into members of JSON; "holders=3" is apart. */
+static void read_variant(const step_t *s, variant_t *v)
+{
+	GString *json = g_string_new("{");
+	unsigned i;
+
+	v->name = s->args[0];
+	for (i = 1; i < s->nargs; i++) {
+		char **kv = g_strsplit(s->args[i], "=", 2);
+		bool is_number = kv[1] && g_ascii_isdigit(*kv[1]);
+
+		if (kv[1] && strcmp(kv[0], "holders") == 0)
+			v->holders = g_strdup(kv[1]);
+		else if (kv[1])
+			g_string_append_printf(json, "%s\"%s\":%s%s%s",
+					       json->len > 1 ? "," : "", kv[0],
+					       is_number ? "" : "\"", kv[1],
+					       is_number ? "" : "\"");
+		g_strfreev(kv);
+	}
+	g_string_append(json, "}");
+	v->settings = g_string_free(json, FALSE);
+}
+
+static unsigned read_variants(const script_t *s, variant_t *v)
+{
+	unsigned n = 0;
+	guint i;
+
+	for (i = 0; i < s->steps->len && n < MAX_VARIANTS; i++) {
+		const step_t *step = s->steps->pdata[i];
+
+		if (step->verb == VERB_COMPARE)
+			read_variant(step, &v[n++]);
+	}
+	if (n == 0)
+		v[n++].name = "default";
+	return n;
+}
+
+static totals_t *totals_of(GPtrArray *all, const char *tag)
+{
+	const char *dot = strchr(tag, '.');
+	char load[64];
+	totals_t *t;
+	guint i;
+
+	g_strlcpy(load, tag, sizeof(load));
+	if (dot)
+		load[dot - tag] = '\0';
+	for (i = 0; i < all->len; i++) {
+		t = all->pdata[i];
+		if (strcmp(t->load, load) == 0)
+			return t;
+	}
+	t = g_new0(totals_t, 1);
+	g_strlcpy(t->load, load, sizeof(t->load));
+	g_ptr_array_add(all, t);
+	return t;
+}
+
+static unsigned groups_wanted(const run_t *r, const lab_call_t *c)
+{
+	const conf_service_t *s =
+		conf_service(r->lab->conf, str_of(c->service));
+	const conf_class_t *k = s ? conf_class(s, str_of(c->class_name)) : NULL;
+
+	if (!k)
+		return 0;
+	return k->scope == CONF_ONE ? 1 : (unsigned)s->ngroups;
+}
+
+static void add_call(totals_t *t, const run_t *r, const lab_call_t *c)
+{
+	t->calls++;
+	t->complete += strcmp(c->outcome, "complete") == 0;
+	t->partial += strcmp(c->outcome, "partial") == 0;
+	t->not_run += strcmp(c->outcome, "not_run") == 0;
+	t->unknown += strcmp(c->outcome, "unknown") == 0;
+	t->answered += c->status == 200 || c->status == 206 ? c->answered : 0;
+	t->wanted += groups_wanted(r, c);
+	hist_add(&t->times, c->took);
+}
+
+static GPtrArray *add_up(run_t *r)
+{
+	GPtrArray *all = g_ptr_array_new();
+	guint i;
+
+	for (i = 0; i < r->calls->len; i++) {
+		const lab_call_t *c = r->calls->pdata[i];
+
+		add_call(totals_of(all, c->tag), r, c);
+	}
+	r->journal = lab_journal(r->lab);
+	for (i = 0; i < r->journal->len; i++) {
+		const lab_run_t *j = &g_array_index(r->journal, lab_run_t, i);
+
+		if (strcmp(j->event, "run") == 0)
+			totals_of(all, j->tag)->runs++;
+	}
+	return all;
+}
+
+static double ms(const totals_t *t, double q)
+{
+	return (double)hist_quantile(&t->times, q) / 1000;
+}
+
+static gint by_load(gconstpointer x, gconstpointer y)
+{
+	return strcmp((*(totals_t *const *)x)->load,
+		      (*(totals_t *const *)y)->load);
+}
+
+static void print(const variant_t *v, GPtrArray *all)
+{
+	guint i;
+
+	g_ptr_array_sort(all, by_load);
+	for (i = 0; i < all->len; i++) {
+		const totals_t *t = all->pdata[i];
+
+		printf("%-18s %-10s %6u %7.1f %7.1f %7.1f %8.2f%% %7.3f "
+		       "%5u %5u %5u\n",
+		       v->name, t->load, t->calls, ms(t, 0.5), ms(t, 0.99),
+		       ms(t, 0.999),
+		       t->wanted ? 100 * t->answered / t->wanted : 0,
+		       t->wanted ? t->runs / t->wanted : 0, t->partial,
+		       t->not_run, t->unknown);
+	}
+	fflush(stdout);
+}
+
+static bool run_variant(const script_t *s, const variant_t *v)
+{
+	GPtrArray *all;
+	run_t r;
+	bool ok;
+
+	run_init(&r, s);
+	r.variant = *v;
+	ok = run_play(&r);
+	if (ok) {
+		all = add_up(&r);
+		print(v, all);
+		g_ptr_array_free(all, TRUE);
+	}
+	run_clear(&r, false);
+	return ok;
+}
+
+int main(int argc, char **argv)
+{
+	variant_t variants[MAX_VARIANTS] = { 0 };
+	script_t *s;
+	unsigned n, i;
+	bool ok = true;
+
+	if (argc != 2) {
+		fputs("usage: experiment FILE\n", stderr);
+		return EXIT_FAILURE;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	s = script_read(argv[1]);
+	if (!s)
+		return EXIT_FAILURE;
+	n = read_variants(s, variants);
+	printf("%-18s %-10s %6s %7s %7s %7s %9s %7s %5s %5s %5s\n", "variant",
+	       "load", "calls", "p50 ms", "p99 ms", "p99.9", "coverage",
+	       "load/1", "part", "notr", "unkn");
+	for (i = 0; ok && i < n; i++)
+		ok = run_variant(s, &variants[i]);
+	script_free(s);
+	return ok ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/standin/lab.c
+++ b/standin/lab.c
@@ -378,6 +378,21 @@
 	return lab_spawn(l, n) && wait_listening(n->addr);
 }
 
+/* Daemons of other data centres are further away. */
+static void add_delays(const lab_t *l, const lab_node_t *n, GPtrArray *a)
+{
+	char ip[ADDR_HOST_MAX];
+	unsigned i;
+
+	for (i = 0; l->conf->link && i < l->ndaemons; i++) {
+		node_ip(l, DAEMON_HOST + i, ip);
+		if (str_eq(l->conf->dcs[i % l->conf->ndcs].name, str_of(n->dc)))
+			continue;
+		g_ptr_array_add(a, g_strdup_printf("--delay=%s=%lld", ip,
+						   (long long)l->conf->link));
+	}
+}
+
 static bool start_upstream(lab_t *l, const conf_service_t *s,
 			   const conf_group_t *g, size_t i)
 {
@@ -404,6 +419,7 @@
 	g_ptr_array_add(
 		a, g_strdup_printf("--sigma-percent=%u", l->sigma_percent));
 	g_ptr_array_add(a, g_strdup_printf("--seed=%u", l->nodes->len));
+	add_delays(l, n, a);
 	if (l->journal)
 		g_ptr_array_add(a, g_strdup_printf("--journal=%s/journal-%s",
 						   l->dir, n->addr));
@@ -441,7 +457,7 @@
 	char ip[ADDR_HOST_MAX];
 	char addr[32];
 	unsigned i;
-	json_t *o;
+	json_t *o, *more;
 	bool ok;
 
 	for (i = 0; i < l->ndaemons; i++) {
@@ -458,6 +474,9 @@
 		      "stop_grace_ms", (json_int_t)l->stop_grace_ms);
 	snprintf(addr, sizeof(addr), "%s:%d", n->ip, PEER_PORT);
 	json_object_set_new(o, "peer", json_string(addr));
+	more = json_loads(l->settings, 0, NULL);
+	json_object_update(o, more);
+	json_decref(more);
 	ok = json_dump_file(o, path, JSON_INDENT(1)) == 0;
 	json_decref(o);
 	return ok;
--- a/standin/lab.h
+++ b/standin/lab.h
@@ -77,6 +77,7 @@
 	unsigned stop_grace_ms;
 	bool journal; /**< whether servers keep one */
 	char log_level[16];
+	char settings[256]; /**< more settings of daemons, JSON members */
 } lab_t;
 
 /** Makes an empty lab with a directory for its files. */
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -29,8 +29,8 @@
 	char snapshot[24];
 	char map[12];
 	usec_t deadline;
-	usec_t at; /* when it is due */
-	bool running;
+	usec_t at;     /* when it is due */
+	bool replying; /* it ran; the reply is on its way */
 	bool hung;
 	size_t place; /* in the heap */
 } job_t;
@@ -69,6 +69,25 @@
 	usec_t connect_us;
 } state = { .journal = -1 };
 
+static struct options {
+	gchar **listen; /* ADDR or ADDR=GROUP */
+	gchar *held;
+	gchar *journal;
+	gint slots;
+	gint connections;
+	gint connect_us;
+	gint queue;
+	gint service_us;
+	gint sigma_percent;
+	gint seed;
+	gint cold;
+	gchar **delay; /* IP=USEC */
+} opt = { .slots = 3,
+	  .connections = 30,
+	  .queue = 64,
+	  .service_us = 2000,
+	  .seed = 1 };
+
 static void note(const job_t *j, const char *what)
 {
 	char line[512];
@@ -182,7 +201,6 @@
 		from = j->r->opened_at + state.connect_us;
 	s->busy++;
 	s->runs++;
-	j->running = true;
 	j->at = from + service_time(s);
 	if (s->hang_next) {
 		s->hang_next--;
@@ -214,8 +232,23 @@
 	}
 }
 
+/* The way to a client in another data centre and back. */
+static usec_t round_trip(const http_request_t *r)
+{
+	gchar **d;
+	size_t n;
+
+	for (d = opt.delay; d && *d; d++) {
+		n = strlen(r->from);
+		if (strncmp(*d, r->from, n) == 0 && (*d)[n] == '=')
+			return 2 * strtol(*d + n + 1, NULL, 10);
+	}
+	return 0;
+}
+
 static void finish(job_t *j, usec_t now, bool cancelled)
 {
+	usec_t away = round_trip(j->r);
 	server_t *s = j->server;
 
 	s->busy--;
@@ -223,7 +256,13 @@
 	set_reply(j->r, s, cancelled ? 499 : 200,
 		  cancelled ? strdup("{}") : hits_text(j));
 	echo(j);
-	release(j);
+	if (away) {
+		j->replying = true;
+		j->at = now + away;
+		g_ptr_array_add(state.heap, j);
+	} else {
+		release(j);
+	}
 	start_next(s, now);
 }
 
@@ -242,7 +281,10 @@
 
 			if (j->at <= now) {
 				g_ptr_array_remove_index_fast(state.heap, i);
-				finish(j, now, false);
+				if (j->replying)
+					release(j);
+				else
+					finish(j, now, false);
 				continue;
 			}
 			if (j->at < next)
@@ -340,7 +382,7 @@
 	for (i = 0; !j && i < state.heap->len; i++) {
 		job_t *k = state.heap->pdata[i];
 
-		if (k->server != s || strcmp(k->id, id) != 0)
+		if (k->server != s || k->replying || strcmp(k->id, id) != 0)
 			continue;
 		j = k;
 		g_ptr_array_remove_index_fast(state.heap, i);
@@ -410,24 +452,6 @@
 	g_mutex_unlock(&state.lock);
 }
 
-static struct options {
-	gchar **listen; /* ADDR or ADDR=GROUP */
-	gchar *held;
-	gchar *journal;
-	gint slots;
-	gint connections;
-	gint connect_us;
-	gint queue;
-	gint service_us;
-	gint sigma_percent;
-	gint seed;
-	gint cold;
-} opt = { .slots = 3,
-	  .connections = 30,
-	  .queue = 64,
-	  .service_us = 2000,
-	  .seed = 1 };
-
 static const GOptionEntry entries[] = {
 	{ "listen", 'l', 0, G_OPTION_ARG_STRING_ARRAY, &opt.listen,
 	  "Serve a group at an address", "IP:PORT=GROUP" },
@@ -447,6 +471,8 @@
 	{ "sigma-percent", 0, 0, G_OPTION_ARG_INT, &opt.sigma_percent,
 	  "Spread of the lognormal service time", "PERCENT" },
 	{ "seed", 0, 0, G_OPTION_ARG_INT, &opt.seed, "Random seed", "N" },
+	{ "delay", 0, 0, G_OPTION_ARG_STRING_ARRAY, &opt.delay,
+	  "One-way delay to a client", "IP=USEC" },
 	{ "cold", 0, 0, G_OPTION_ARG_INT, &opt.cold,
 	  "Requests that are slow at first", "N" },
 	G_OPTION_ENTRY_NULL
--- a/tests/fuzz_conf.c
+++ b/tests/fuzz_conf.c
@@ -3,8 +3,10 @@
 
 #include "conf.h"
 
+/* The name is libFuzzer's. NOLINTNEXTLINE */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t sz);
 
+/* NOLINTNEXTLINE */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t sz)
 {
 	static conf_faults_t f;
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -23,6 +23,7 @@
 	VERB_CLASS,
 	VERB_SERVERS,
 	VERB_OPTION,
+	VERB_COMPARE,
 	/* After "at TIME". */
 	VERB_QUERY,
 	VERB_LOAD,
@@ -82,6 +83,13 @@
 /** Whether a word stands among the arguments. */
 bool step_has(const step_t *s, const char *word);
 
+/** What differs between runs of a script that are compared. */
+typedef struct variant {
+	const char *name;
+	const char *settings; /**< members of JSON, or NULL */
+	const char *holders;  /**< of all services, or NULL */
+} variant_t;
+
 /** A run of a script. */
 typedef struct run {
 	const script_t *script;
@@ -90,6 +98,7 @@
 	GPtrArray *calls; /**< lab_call_t of all queries and loads */
 	GMutex lock;	  /**< of calls */
 	GPtrArray *threads;
+	GPtrArray *blocks; /**< memory of calls and loads, freed at the end */
 	GThread *balancer; /**< asks the daemons whether they are ready */
 	gint ready[RUN_MAX_DAEMONS];
 	gint turns[RUN_MAX_DAEMONS]; /**< how often readiness changed */
@@ -98,6 +107,7 @@
 	GHashTable *runs;	     /**< tag to number of runs */
 	unsigned faults;
 	bool verbose;
+	variant_t variant;
 } run_t;
 
 /** Notes that something does not hold, and prints it. */
@@ -105,6 +115,12 @@
 	G_GNUC_PRINTF(3, 4);
 /** Runs a script and returns the number of faults. */
 unsigned run_script(const script_t *s, bool verbose, bool keep);
+/** Starts the lab and plays the script; false if it does not start. */
+bool run_play(run_t *r);
+/** Makes a run of a script. */
+void run_init(run_t *r, const script_t *s);
+/** Ends the lab and frees what the run has. */
+void run_clear(run_t *r, bool keep);
 /** Builds the configuration of a script as published by a step, or NULL. */
 char *run_conf_text(const run_t *r, const step_t *publish);
 /** Begins a query or a load in threads of its own. */
--- a/tests/scenario_ask.c
+++ b/tests/scenario_ask.c
@@ -107,6 +107,8 @@
 	unsigned n = r->lab->ndaemons;
 	unsigned i;
 
+	if (n == 0)
+		return 0;
 	for (i = 0; i < n; i++)
 		if (g_atomic_int_get(&r->ready[(turn + i) % n]))
 			return (turn + i) % n;
@@ -174,6 +176,8 @@
 	l->spread = !step_arg(s, "via");
 	l->ncalls = (unsigned)(rate * (double)ms / 1000);
 	l->calls = g_new0(lab_call_t, l->ncalls);
+	g_ptr_array_add(r->blocks, l->calls);
+	g_ptr_array_add(r->blocks, l);
 	for (i = 0; i < l->ncalls; i++) {
 		lab_call_t *c = &l->calls[i];
 
@@ -203,6 +207,7 @@
 	o = g_new0(one_t, 1);
 	o->run = r;
 	o->call = g_new0(lab_call_t, 1);
+	g_ptr_array_add(r->blocks, o->call);
 	fill(r, s, o->call);
 	g_ptr_array_add(r->threads, g_thread_new("query", query_thread, o));
 }
--- a/tests/scenario_conf.c
+++ b/tests/scenario_conf.c
@@ -58,6 +58,7 @@
 	unsigned groups = (unsigned)step_num(s, "groups", 1);
 	unsigned replicas = (unsigned)step_num(s, "replicas", 3);
 	long map = changed(p, "map", s->args[0], step_num(s, "map", 1));
+	long holders;
 	char name[16];
 	unsigned i;
 
@@ -65,8 +66,10 @@
 		b, s->args[0], (unsigned)step_num(s, "slots", DEFAULT_SLOTS),
 		(unsigned)step_num(s, "connections", DEFAULT_CONNECTIONS));
 	conf_set_map(b, (uint32_t)map);
-	conf_set_holders(b, (unsigned)changed(p, "holders", s->args[0],
-					      step_num(s, "holders", 0)));
+	holders = changed(p, "holders", s->args[0], step_num(s, "holders", 0));
+	if (r->variant.holders)
+		holders = strtol(r->variant.holders, NULL, 10);
+	conf_set_holders(b, (unsigned)holders);
 	for (i = 0; i < groups; i++) {
 		snprintf(name, sizeof(name), "g%02u", i);
 		add_group(r, b, name, replicas, at);
@@ -161,6 +164,7 @@
 	if (publish && step_has(publish, "bad"))
 		return strdup("{\"revision\":9,\"fleet\":{},\"services\":{}}");
 	b = conf_new((uint64_t)rev, max);
+	conf_set_link(b, dcs ? (unsigned)step_num(dcs, "link_us", 0) : 0);
 	for (i = 0; i < (guint)ndcs; i++) {
 		snprintf(name, sizeof(name), "dc%u", i + 1);
 		conf_add_dc(b, name, "r1");
--- a/tests/scenario_parse.c
+++ b/tests/scenario_parse.c
@@ -22,6 +22,7 @@
 	[VERB_CLASS] = { "class", FORM_DEPLOYMENT, 5 },
 	[VERB_SERVERS] = { "servers", FORM_DEPLOYMENT, 2 },
 	[VERB_OPTION] = { "option", FORM_DEPLOYMENT, 2 },
+	[VERB_COMPARE] = { "compare", FORM_DEPLOYMENT, 1 },
 	[VERB_QUERY] = { "query", FORM_AT, 3 },
 	[VERB_LOAD] = { "load", FORM_AT, 7 },
 	[VERB_KILL] = { "kill", FORM_AT, 1 },
--- a/tests/scenario_run.c
+++ b/tests/scenario_run.c
@@ -188,6 +188,10 @@
 	const char *v;
 	guint i;
 
+	if (r->variant.settings)
+		g_strlcpy(l->settings, r->variant.settings,
+			  sizeof(l->settings));
+
 	for (i = 0; i < r->script->steps->len; i++) {
 		const step_t *s = r->script->steps->pdata[i];
 
@@ -197,6 +201,8 @@
 			g_strlcpy(l->held, v, sizeof(l->held));
 		if ((v = step_arg(s, "policy")))
 			g_strlcpy(l->policy, v, sizeof(l->policy));
+		if ((v = step_arg(s, "log")))
+			g_strlcpy(l->log_level, v, sizeof(l->log_level));
 		l->service_us =
 			(unsigned)step_num(s, "service_us", l->service_us);
 		l->sigma_percent =
@@ -275,29 +281,58 @@
 	g_usleep((gulong)SETTLE);
 }
 
-unsigned run_script(const script_t *s, bool verbose, bool keep)
+void run_init(run_t *r, const script_t *s)
 {
-	run_t r = { .script = s, .verbose = verbose };
 	guint i;
 
-	g_mutex_init(&r.lock);
+	*r = (run_t){ .script = s };
+	g_mutex_init(&r->lock);
 	for (i = 0; i < RUN_MAX_DAEMONS; i++)
-		r.ready[i] = 1;
-	r.calls = g_ptr_array_new();
-	r.threads = g_ptr_array_new();
-	r.lab = lab_new();
-	set_options(&r);
-	if (start(&r)) {
-		play(&r);
+		r->ready[i] = 1;
+	r->calls = g_ptr_array_new();
+	r->threads = g_ptr_array_new();
+	r->blocks = g_ptr_array_new_with_free_func(g_free);
+	r->lab = lab_new();
+}
+
+bool run_play(run_t *r)
+{
+	set_options(r);
+	if (!start(r))
+		return false;
+	play(r);
+	return true;
+}
+
+void run_clear(run_t *r, bool keep)
+{
+	guint i;
+
+	lab_free(r->lab, keep);
+	for (i = 0; i < r->calls->len; i++)
+		g_free(((lab_call_t *)r->calls->pdata[i])->text);
+	if (r->runs)
+		g_hash_table_destroy(r->runs);
+	if (r->journal)
+		g_array_free(r->journal, TRUE);
+	g_ptr_array_free(r->blocks, TRUE);
+	g_ptr_array_free(r->threads, TRUE);
+	g_ptr_array_free(r->calls, TRUE);
+}
+
+unsigned run_script(const script_t *s, bool verbose, bool keep)
+{
+	run_t r;
+
+	run_init(&r, s);
+	r.verbose = verbose;
+	if (run_play(&r))
 		run_check(&r);
-	} else {
+	else
 		run_fault(&r, 0, "the deployment does not start");
-	}
 	if (r.faults)
 		fprintf(stderr, "  %s: %u faults%s%s\n", s->name, r.faults,
 			keep ? ", files in " : "", keep ? r.lab->dir : "");
-	lab_free(r.lab, keep && r.faults);
-	g_ptr_array_free(r.threads, TRUE);
-	g_ptr_array_free(r.calls, TRUE);
+	run_clear(&r, keep && r.faults);
 	return r.faults;
 }
--- a/wire/libwire.h
+++ b/wire/libwire.h
@@ -19,8 +19,8 @@
 /** A member: its type, its place in peer_msg_t, the kinds that have it. */
 typedef struct wire_field {
 	wire_type_t type;
-	size_t at;
 	unsigned kinds; /* bits of peer_kind_t */
+	size_t at;
 } wire_field_t;
 
 extern const wire_field_t wire_fields[];
--- a/wire/wire_table.c
+++ b/wire/wire_table.c
@@ -4,39 +4,42 @@
 #include "libwire.h"
 
 #define AT(member) offsetof(peer_msg_t, member)
-#define BIT(kind) (1U << (kind))
-#define DIGESTS (BIT(PEER_DIGEST) | BIT(PEER_DIGEST_REPLY))
-#define REQUESTS (BIT(PEER_KEYED) | BIT(PEER_FORWARD))
-#define RESULTS (BIT(PEER_ANSWER) | BIT(PEER_PARTS))
-#define ALL (BIT(PEER_MAX) - 1)
+
+/* Sets of kinds. */
+enum {
+	DIGESTS = 1U << PEER_DIGEST | 1U << PEER_DIGEST_REPLY,
+	REQUESTS = 1U << PEER_KEYED | 1U << PEER_FORWARD,
+	RESULTS = 1U << PEER_ANSWER | 1U << PEER_PARTS,
+	ALL = (1U << PEER_MAX) - 1,
+};
 
 const wire_field_t wire_fields[] = {
-	{ WIRE_STR, AT(from), ALL },
-	{ WIRE_STR, AT(reply_to), ALL },
-	{ WIRE_U64, AT(token), ALL },
-	{ WIRE_U64, AT(revision), DIGESTS | BIT(PEER_PULL) },
-	{ WIRE_U64, AT(conf_hash), DIGESTS },
-	{ WIRE_U64, AT(list_version), DIGESTS | BIT(PEER_LIST) },
-	{ WIRE_I64, AT(list_age), DIGESTS | BIT(PEER_LIST) },
-	{ WIRE_I64, AT(clock), DIGESTS },
-	{ WIRE_U64, AT(incarnation), DIGESTS | BIT(PEER_KEYED) },
-	{ WIRE_I64, AT(expires), BIT(PEER_KEYED) },
-	{ WIRE_STR, AT(text), REQUESTS | BIT(PEER_DELTA) },
-	{ WIRE_LIST, AT(list), BIT(PEER_LIST) },
-	{ WIRE_STR, AT(service), REQUESTS },
-	{ WIRE_STR, AT(class_name), REQUESTS },
-	{ WIRE_STR, AT(route), BIT(PEER_KEYED) },
-	{ WIRE_STR, AT(key), BIT(PEER_KEYED) },
-	{ WIRE_I64, AT(left), REQUESTS },
-	{ WIRE_U64, AT(limit), REQUESTS },
-	{ WIRE_U64, AT(map), BIT(PEER_FORWARD) | RESULTS },
-	{ WIRE_U64, AT(snapshot), BIT(PEER_FORWARD) | RESULTS },
-	{ WIRE_GROUPS, AT(groups), BIT(PEER_FORWARD) | BIT(PEER_ANSWER) },
-	{ WIRE_PARTS, AT(parts), BIT(PEER_PARTS) },
-	{ WIRE_U64, AT(outcome), BIT(PEER_ANSWER) },
-	{ WIRE_U64, AT(why), BIT(PEER_ANSWER) },
-	{ WIRE_U64, AT(total), BIT(PEER_ANSWER) },
-	{ WIRE_HITS, AT(hits), BIT(PEER_ANSWER) },
+	{ WIRE_STR, ALL, AT(from) },
+	{ WIRE_STR, ALL, AT(reply_to) },
+	{ WIRE_U64, ALL, AT(token) },
+	{ WIRE_U64, DIGESTS | 1U << PEER_PULL, AT(revision) },
+	{ WIRE_U64, DIGESTS, AT(conf_hash) },
+	{ WIRE_U64, DIGESTS | 1U << PEER_LIST, AT(list_version) },
+	{ WIRE_I64, DIGESTS | 1U << PEER_LIST, AT(list_age) },
+	{ WIRE_I64, DIGESTS, AT(clock) },
+	{ WIRE_U64, DIGESTS | 1U << PEER_KEYED, AT(incarnation) },
+	{ WIRE_I64, 1U << PEER_KEYED, AT(expires) },
+	{ WIRE_STR, REQUESTS | 1U << PEER_DELTA, AT(text) },
+	{ WIRE_LIST, 1U << PEER_LIST, AT(list) },
+	{ WIRE_STR, REQUESTS, AT(service) },
+	{ WIRE_STR, REQUESTS, AT(class_name) },
+	{ WIRE_STR, 1U << PEER_KEYED, AT(route) },
+	{ WIRE_STR, 1U << PEER_KEYED, AT(key) },
+	{ WIRE_I64, REQUESTS, AT(left) },
+	{ WIRE_U64, REQUESTS, AT(limit) },
+	{ WIRE_U64, 1U << PEER_FORWARD | RESULTS, AT(map) },
+	{ WIRE_U64, 1U << PEER_FORWARD | RESULTS, AT(snapshot) },
+	{ WIRE_GROUPS, 1U << PEER_FORWARD | 1U << PEER_ANSWER, AT(groups) },
+	{ WIRE_PARTS, 1U << PEER_PARTS, AT(parts) },
+	{ WIRE_U64, 1U << PEER_ANSWER, AT(outcome) },
+	{ WIRE_U64, 1U << PEER_ANSWER, AT(why) },
+	{ WIRE_U64, 1U << PEER_ANSWER, AT(total) },
+	{ WIRE_HITS, 1U << PEER_ANSWER, AT(hits) },
 };
 
 const size_t wire_nfields = sizeof(wire_fields) / sizeof(wire_fields[0]);
