--- a/Makefile
+++ b/Makefile
@@ -19,17 +19,17 @@
 WIRE = $(wildcard wire/*.c)
 DAEMON = $(wildcard daemon/*.c)
 CTL = $(wildcard ctl/*.c)
-LAB = standin/lab.c standin/http.c
+LAB = standin/lab.c standin/relay.c standin/http.c
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
 
 PROGRAMS = geraniumslipd standin-upstream standin-platform scenario \
-	experiment unit deploy-marea-viva deploy-balapan
+	experiment bench unit deploy-marea-viva deploy-balapan
 ifneq ($(CTL),)
 PROGRAMS += geraniumslip
 endif
 
-all: $(addprefix $(BUILD)/,$(PROGRAMS))
+all: $(addprefix $(BUILD)/,$(PROGRAMS)) $(BUILD)/libgeraniumslip-conf.a
 
 $(BUILD)/%.o: %.c Makefile
 	@mkdir -p $(@D)
@@ -55,16 +55,55 @@
 $(BUILD)/experiment: $(call obj,$(BASE) $(CONF) $(LAB) $(PLAY) standin/experiment.c)
 	$(CC) -o $@ $^ $(LIBS)
 
+$(BUILD)/bench: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) standin/http.c standin/bench.c)
+	$(CC) -o $@ $^ $(LIBS)
+
 UNIT = $(wildcard tests/unit_*.c)
 $(BUILD)/unit: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) $(UNIT))
 	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
 
+# The operators' library.
+$(BUILD)/libgeraniumslip-conf.a: $(call obj,$(BASE) $(CONF))
+	$(AR) rcs $@ $^
+
+# A fuzzer of one reader, with clang's libFuzzer.
+$(BUILD)/fuzz-%: tests/fuzz_%.c $(BASE) $(CONF) $(WIRE) core/merge.c
+	@mkdir -p $(@D)
+	clang -std=gnu11 -D_GNU_SOURCE -O1 -g \
+		-fsanitize=fuzzer,address,undefined \
+		$(addprefix -I,base conf core wire) \
+		$(shell pkg-config --cflags $(PKGS)) -o $@ $^ \
+		$(shell pkg-config --libs jansson msgpack libxxhash) -lm
+
 $(BUILD)/deploy-%: $(BUILD)/deploy/%.o $(call obj,$(BASE) $(CONF))
 	$(CC) -o $@ $^ $(LIBS)
 
+install:
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/sbin \
+		$(DESTDIR)$(PREFIX)/lib/pkgconfig \
+		$(DESTDIR)$(PREFIX)/include/geraniumslip \
+		$(DESTDIR)$(PREFIX)/share/man/man1 \
+		$(DESTDIR)$(PREFIX)/share/man/man3 \
+		$(DESTDIR)$(PREFIX)/share/man/man5 \
+		$(DESTDIR)$(PREFIX)/share/man/man8 \
+		$(DESTDIR)$(PREFIX)/share/bash-completion/completions
+	install $(BUILD)/geraniumslip $(DESTDIR)$(PREFIX)/bin
+	install $(BUILD)/geraniumslipd $(DESTDIR)$(PREFIX)/sbin
+	install -m 644 $(BUILD)/libgeraniumslip-conf.a $(DESTDIR)$(PREFIX)/lib
+	install -m 644 base/base.h conf/conf.h \
+		$(DESTDIR)$(PREFIX)/include/geraniumslip
+	sed 's|@PREFIX@|$(PREFIX)|' conf/geraniumslip-conf.pc.in > \
+		$(DESTDIR)$(PREFIX)/lib/pkgconfig/geraniumslip-conf.pc
+	install -m 644 man/*.1 $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 man/*.3 $(DESTDIR)$(PREFIX)/share/man/man3
+	install -m 644 man/*.5 $(DESTDIR)$(PREFIX)/share/man/man5
+	install -m 644 man/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
+	install -m 644 ctl/completion.bash \
+		$(DESTDIR)$(PREFIX)/share/bash-completion/completions/geraniumslip
+
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all clean
+.PHONY: all clean install
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/core/attempt.c
+++ b/core/attempt.c
@@ -101,6 +101,7 @@
 	a->u = p->u;
 	a->sent_at = now;
 	a->hedge = why == WHY_HEDGE;
+	a->urgent = q->class->kind == CONF_URGENT;
 	upstream_add(p->u, a);
 	q->nout++;
 	q->sent++;
@@ -136,6 +137,9 @@
 		hist_add(&u->group->latency, now - a->sent_at);
 		if (u->group->latency.total > HIST_DECAY_AT)
 			hist_decay(&u->group->latency);
+		if (u->group->latency.total % USUAL_EVERY == 0)
+			u->group->usual =
+				hist_quantile(&u->group->latency, 0.5);
 	}
 }
 
--- a/core/core.h
+++ b/core/core.h
@@ -386,6 +386,7 @@
 	POLICY_ROUND_ROBIN,
 	POLICY_LEAST, /**< least in flight */
 	POLICY_TWO,   /**< two random choices, the less loaded */
+	POLICY_PACK,  /**< broad work to the most used, as KEP-964 scores it */
 	POLICY_MAX,
 } policy_t;
 
--- a/core/libcore.h
+++ b/core/libcore.h
@@ -8,6 +8,8 @@
 #define SHARD_MAX_TRIES 12
 #define QUERY_MAX_RESTARTS 6
 #define UPSTREAM_MIN_LIMIT 1.0
+#define QUEUE_TARGET 1 /* requests that may wait at a server */
+#define SLOW_MEDIANS 3 /* of the group: a server this slow is too full */
 
 #define GOSSIP_PERIOD (500 * USEC_PER_MSEC)
 #define GOSSIP_FANOUT 2
@@ -16,6 +18,7 @@
 #define READERS_PER_DC 2
 #define VOLUNTEER_AFTER (1200 * USEC_PER_MSEC)
 #define VOLUNTEERS_PER_SEC 100.0 /* of the whole fleet */
+#define START_ALONE (2 * USEC_PER_SEC)
 #define KEY_LIFETIME (5 * USEC_PER_SEC)
 #define LIST_LAG (3 * USEC_PER_SEC)
 #define KEY_WAIT (KEY_LIFETIME + LIST_LAG)
@@ -31,6 +34,8 @@
 #define EVIDENCE_HALF_LIFE (250 * USEC_PER_MSEC)
 #define BACKOFF_MIN (5 * USEC_PER_MSEC)
 #define BACKOFF_MAX (200 * USEC_PER_MSEC)
+#define SHED_BACKOFF_MIN (50 * USEC_PER_MSEC)
+#define SHED_BACKOFF_MAX USEC_PER_SEC
 #define CONNECT_BACKOFF_MIN (50 * USEC_PER_MSEC)
 #define CONNECT_BACKOFF_MAX (2 * USEC_PER_SEC)
 #define HEDGE_MIN_DELAY (2 * USEC_PER_MSEC)
@@ -40,11 +45,13 @@
 #define DOWN_AFTER_FAILURES 3
 #define QUEUE_MAX_PER_SERVER 64
 #define HEDGE_MEDIANS 4
-#define HEDGE_BLIND_PART 4 /* of the time left, without samples */
+#define HEDGE_BLIND_PART 4	       /* of the time left, without samples */
+#define LATENCY_HALF_LIFE USEC_PER_SEC /* of one that is not used */
 #define SUSPECT_LATENCIES 8
 #define SUSPECT_MIN (30 * USEC_PER_MSEC)
 #define REPIN_WAIT (20 * USEC_PER_MSEC)
 #define HIST_DECAY_AT 2000
+#define USUAL_EVERY 16 /* counts between looks at the median */
 
 /* Objects found by an id that is never used again for another object. */
 typedef struct idmap {
@@ -62,6 +69,20 @@
 void *idmap_at(const idmap_t *m, uint32_t i);
 void idmap_free(idmap_t *m);
 
+/* Objects by a string. */
+typedef struct strmap {
+	struct strmap_slot *v;
+	size_t room; /* a power of two */
+	size_t used; /* slots that end no probe */
+	size_t n;
+} strmap_t;
+
+void *strmap_get(const strmap_t *m, str_t key);
+/* The key must not be there; its bytes must last as long as the object. */
+void strmap_put(strmap_t *m, str_t key, void *p);
+void strmap_del(strmap_t *m, str_t key);
+void strmap_free(strmap_t *m);
+
 typedef struct group group_t;
 
 /* A server as this daemon believes it to be. */
@@ -72,15 +93,20 @@
 	bool near;	/* in this daemon's data centre */
 	bool leaving;
 	usec_t leaving_at;
-	unsigned cap; /* connections this daemon may hold */
-	double limit; /* requests in flight, at most cap */
+	unsigned cap;	    /* connections this daemon may hold */
+	double limit;	    /* requests in flight, at most cap */
+	double broad_limit; /* of them, broad ones */
+	unsigned broad_inflight;
 	unsigned inflight;
 	struct attempt *first; /* out to it, the oldest first */
 	struct attempt *last;
 	unsigned slots;
 	usec_t latency;	      /* decaying mean, 0 when unknown */
+	usec_t latency_at;    /* when it was noted last */
 	usec_t heard_at;      /* last direct evidence, 0 for never */
 	usec_t blocked_until; /* after connection failures */
+	usec_t shed_until;    /* it refuses: others go first */
+	unsigned sheds;	      /* in a row */
 	unsigned failures;    /* in a row */
 	evidence_t evidence;
 	uint64_t decreased_epoch; /* last limit decrease, by time */
@@ -110,7 +136,8 @@
 	uint64_t holders_tried; /* bits of the block's holders */
 	size_t block;		/* of its service */
 	bool reported;		/* to the daemon that forwarded it */
-	why_t why;		/* of the last failure */
+	bool owes; /* a token of the budget before it goes out again */
+	why_t why; /* of the last failure */
 	part_t *part;
 	struct shard *prev; /* in the group's queue */
 	struct shard *next;
@@ -118,6 +145,8 @@
 
 /* Servers of the same data and the shards that wait for one of them. */
 struct group {
+	str_t key;     /* owned; service, map and name */
+	size_t place;  /* among all groups */
 	str_t service; /* owned */
 	str_t name;    /* owned */
 	uint32_t map;
@@ -129,6 +158,7 @@
 	unsigned refs; /* views that name it */
 	uint64_t turn; /* for round robin */
 	hist_t latency;
+	usec_t usual; /* median of latency, by the last look */
 	size_t nheld; /* as a holder told of it */
 	holding_t held[CORE_MAX_HELD];
 };
@@ -259,8 +289,11 @@
 	usec_t learnt_at;
 	group_t **groups;
 	size_t ngroups;
+	size_t group_room;
+	strmap_t by_key;
 	svc_state_t **states;
 	size_t nstates;
+	strmap_t by_service;
 } board_conf_t;
 
 /* Section written by list.c. */
@@ -289,7 +322,8 @@
 	usec_t gossip_at; /* next digest is due */
 	usec_t read_at;	  /* last change of the mode of reading */
 	read_mode_t read;
-	unsigned told; /* replies to digests since the start */
+	unsigned told;	  /* replies to digests since the start */
+	uint64_t highest; /* revision that a daemon told of */
 } board_peers_t;
 
 /* Daemons of an earlier list, by id. */
@@ -313,6 +347,7 @@
 	upstream_t **v;
 	size_t n;
 	size_t room;
+	strmap_t by_addr;
 } board_upstreams_t;
 
 /* The blackboard: each section is written by one controller only. */
@@ -383,7 +418,7 @@
 bool upstream_has_room(const upstream_t *u, bool urgent);
 /* Whether it told last that it lacks the snapshot. */
 bool upstream_lacks(const upstream_t *u, uint64_t snapshot, uint32_t map);
-/* Whether its oldest request is out for far longer than usual. */
+/* Whether it refuses, or its oldest request is out for very long. */
 bool upstream_suspect(const upstream_t *u, usec_t now);
 void upstream_add(upstream_t *u, struct attempt *a);
 void upstream_remove(upstream_t *u, struct attempt *a);
@@ -429,6 +464,8 @@
 
 /* shard.c */
 void shard_start(core_t *c, shard_t *sh, why_t why, usec_t now);
+/* Starts it again after a wait, if the budget allows. */
+void shard_resume(core_t *c, shard_t *sh, usec_t now);
 void shard_hedge(core_t *c, shard_t *sh, usec_t now);
 void shard_result(core_t *c, shard_t *sh, attempt_t *a, result_t r,
 		  part_t *part, usec_t now);
@@ -493,6 +530,8 @@
 void peer_asked(core_t *c, str_t addr, usec_t now);
 bool peer_suspect(const core_t *c, str_t addr, usec_t now);
 /* Whether most daemons that were asked lately answered. */
+/* Whether what others know when this one starts is in force here. */
+bool peer_caught_up(const core_t *c, usec_t now);
 bool peer_agreement(const core_t *c, usec_t now);
 size_t peer_count_suspects(const core_t *c, usec_t now);
 void peer_free(core_t *c);
--- a/core/peer.c
+++ b/core/peer.c
@@ -135,6 +135,18 @@
 	return heard > silent;
 }
 
+bool peer_caught_up(const core_t *c, usec_t now)
+{
+	const board_peers_t *b = &c->board.peers;
+	const host_list_t *l = &c->board.list.list;
+
+	/* Alone on the list, or nobody answers: the platform must do. */
+	if ((l->ndaemons == 1 && c->params.nseeds == 0) ||
+	    now - c->board.keys.started_at > START_ALONE)
+		return true;
+	return b->told && revision_of(c) >= b->highest;
+}
+
 static void fill_digest(const core_t *c, peer_msg_t *m, usec_t now)
 {
 	const board_list_t *l = &c->board.list;
@@ -240,6 +252,8 @@
 	const peer_msg_t *m = ev->peer.msg;
 
 	c->board.peers.told++;
+	if (m->revision > c->board.peers.highest)
+		c->board.peers.highest = m->revision;
 	note_clock(c, m, now);
 	check_same(c, m);
 	if (m->revision > revision_of(c))
--- a/core/pick.c
+++ b/core/pick.c
@@ -1,6 +1,10 @@
 /** @file pick.c Which server of a group an attempt goes to, by policy. */
 #include "libcore.h"
 
+/* Weights of the resources that packing looks at. */
+#define PACK_SLOTS 5.0
+#define PACK_CONNECTIONS 2.0
+
 typedef struct cand {
 	upstream_t *u;
 	unsigned index;
@@ -14,6 +18,8 @@
 			    usec_t now);
 static size_t pick_random(core_t *c, group_t *g, const cand_t *v, size_t n,
 			  usec_t now);
+static size_t pick_pack(core_t *c, group_t *g, const cand_t *v, size_t n,
+			usec_t now);
 static size_t pick_round_robin(core_t *c, group_t *g, const cand_t *v, size_t n,
 			       usec_t now);
 static size_t pick_least(core_t *c, group_t *g, const cand_t *v, size_t n,
@@ -30,6 +36,7 @@
 	[POLICY_ROUND_ROBIN] = { "round_robin", pick_round_robin },
 	[POLICY_LEAST] = { "least", pick_least },
 	[POLICY_TWO] = { "two", pick_two },
+	[POLICY_PACK] = { "pack", pick_pack },
 };
 
 policy_t policy_by_name(str_t name)
@@ -115,6 +122,36 @@
 	return v[b].u->inflight < v[a].u->inflight ? b : a;
 }
 
+/* Use of slots and connections after one more request, by weight. */
+static double used(const upstream_t *u)
+{
+	double slots = (u->inflight + 1.0) / (u->slots ? u->slots : 1);
+	double connections = (u->inflight + 1.0) / (u->cap ? u->cap : 1);
+
+	if (slots > 1)
+		slots = 1;
+	return (PACK_SLOTS * slots + PACK_CONNECTIONS * connections) /
+	       (PACK_SLOTS + PACK_CONNECTIONS);
+}
+
+/*
+ * KEP-964's score of a node, (requested + request) / allocatable weighted
+ * over resources, with the shape that fills the most used one first.
+ */
+static size_t pick_pack(core_t *c, group_t *g, const cand_t *v, size_t n,
+			usec_t now)
+{
+	size_t best = rng_below(&c->rng, n);
+	size_t i;
+
+	(void)g;
+	(void)now;
+	for (i = 0; i < n; i++)
+		if (used(v[i].u) > used(v[best].u))
+			best = i;
+	return best;
+}
+
 /* How much a server is wanted; the first kind that there is, is used. */
 typedef enum rank {
 	RANK_GOOD,
--- a/core/query.c
+++ b/core/query.c
@@ -377,10 +377,8 @@
 	sh = &q->shards[t->shard];
 	if (t->kind == TM_HEDGE && sh->nlive == 1 && sh->live[0] == t->aid)
 		shard_hedge(c, sh, now);
-	if (t->kind == TM_BACKOFF && sh->state == SH_BACKOFF) {
-		sh->state = SH_IDLE;
-		shard_start(c, sh, WHY_RETRY, now);
-	}
+	if (t->kind == TM_BACKOFF && sh->state == SH_BACKOFF)
+		shard_resume(c, sh, now);
 }
 
 /* After a pause the deadline may come before anything was called back. */
--- a/core/shard.c
+++ b/core/shard.c
@@ -172,20 +172,25 @@
 	query_check(c, sh->q, now);
 }
 
-/* An extra attempt that loads a server again is paid from the budget. */
-static void retry(core_t *c, shard_t *sh, result_t r, usec_t now)
+void shard_resume(core_t *c, shard_t *sh, usec_t now)
 {
-	bool costs = r != RES_NOT_SENT && r != RES_MISS;
-
 	sh->state = SH_IDLE;
-	if (costs && !budget_take(&sh->q->svc->state->retry)) {
+	if (sh->owes && !budget_take(&sh->q->svc->state->retry)) {
 		c->counters[CNT_BUDGET_DENIED]++;
 		backoff(c, sh, now);
 		return;
 	}
+	sh->owes = false;
 	shard_start(c, sh, WHY_RETRY, now);
 }
 
+/* An extra attempt that loads a server again is paid from the budget. */
+static void retry(core_t *c, shard_t *sh, result_t r, usec_t now)
+{
+	sh->owes = r != RES_NOT_SENT && r != RES_MISS;
+	shard_resume(c, sh, now);
+}
+
 static why_t why_of(result_t r)
 {
 	static const why_t whys[RES_MAX] = {
--- a/core/upstream.c
+++ b/core/upstream.c
@@ -10,32 +10,19 @@
 #define LATENCY_WEIGHT 8 /* an answer counts for an eighth of the mean */
 #define LATENCY_FIRST (5 * USEC_PER_MSEC)
 #define LIMIT_DECREASE 0.7
+#define BROAD_DECREASE 0.9
+#define BROAD_INCREASE 0.1
 #define LIMIT_DECREASE_PERIOD (50 * USEC_PER_MSEC)
 
 upstream_t *upstream_find(core_t *c, str_t addr)
 {
-	board_upstreams_t *b = &c->board.upstreams;
-	size_t lo = 0, hi = b->n, mid;
-	int r;
-
-	while (lo < hi) {
-		mid = (lo + hi) / 2;
-		r = str_cmp(b->v[mid]->addr, addr);
-		if (r == 0)
-			return b->v[mid];
-		if (r < 0)
-			lo = mid + 1;
-		else
-			hi = mid;
-	}
-	return NULL;
+	return strmap_get(&c->board.upstreams.by_addr, addr);
 }
 
 upstream_t *upstream_get(core_t *c, str_t addr)
 {
 	board_upstreams_t *b = &c->board.upstreams;
 	upstream_t *u = upstream_find(c, addr);
-	size_t i;
 
 	if (u)
 		return u;
@@ -45,10 +32,8 @@
 		b->room = b->room ? b->room * 2 : 64;
 		b->v = xrealloc(b->v, b->room * sizeof(*b->v));
 	}
-	for (i = b->n; i > 0 && str_cmp(b->v[i - 1]->addr, addr) > 0; i--)
-		b->v[i] = b->v[i - 1];
-	b->v[i] = u;
-	b->n++;
+	b->v[b->n++] = u;
+	strmap_put(&b->by_addr, u->addr, u);
 	return u;
 }
 
@@ -96,6 +81,27 @@
 		u->limit = u->cap;
 }
 
+/*
+ * Broad requests may fill a server's slots but not its queue, where urgent
+ * ones would wait behind them: the limit follows the queue that it tells of.
+ */
+static void steer_broad(upstream_t *u, const evidence_t *e, usec_t took)
+{
+	usec_t usual = u->group ? u->group->usual : 0;
+	bool full = e->valid && e->queued > QUEUE_TARGET;
+
+	if (usual && took > SLOW_MEDIANS * usual)
+		full = true;
+	if (full)
+		u->broad_limit *= BROAD_DECREASE;
+	else
+		u->broad_limit += BROAD_INCREASE / u->broad_limit;
+	if (u->broad_limit > u->cap)
+		u->broad_limit = u->cap;
+	if (u->broad_limit < UPSTREAM_MIN_LIMIT)
+		u->broad_limit = UPSTREAM_MIN_LIMIT;
+}
+
 static void limit_decrease(upstream_t *u, usec_t now)
 {
 	uint64_t epoch = (uint64_t)(now / LIMIT_DECREASE_PERIOD);
@@ -108,8 +114,9 @@
 		u->limit = UPSTREAM_MIN_LIMIT;
 }
 
-static void note_latency(upstream_t *u, usec_t took)
+static void note_latency(upstream_t *u, usec_t took, usec_t now)
 {
+	u->latency_at = now;
 	if (u->latency == 0)
 		u->latency = took;
 	else
@@ -118,15 +125,25 @@
 		u->latency = 1;
 }
 
+/* Doubles from low to high with each time in a row. */
+static usec_t doubled(usec_t low, usec_t high, unsigned times)
+{
+	while (times-- && low < high)
+		low *= 2;
+	return low;
+}
+
 static void note_failure(upstream_t *u, usec_t now)
 {
-	usec_t wait = CONNECT_BACKOFF_MIN;
-	unsigned i;
+	u->blocked_until = now + doubled(CONNECT_BACKOFF_MIN,
+					 CONNECT_BACKOFF_MAX, u->failures++);
+}
 
-	for (i = 0; i < u->failures && wait < CONNECT_BACKOFF_MAX; i++)
-		wait *= 2;
-	u->failures++;
-	u->blocked_until = now + wait;
+/* A refusal is quick, so it must not make the server look fast. */
+static void note_shed(upstream_t *u, usec_t now)
+{
+	u->shed_until =
+		now + doubled(SHED_BACKOFF_MIN, SHED_BACKOFF_MAX, u->sheds++);
 }
 
 void upstream_unreachable(upstream_t *u, usec_t now)
@@ -140,23 +157,26 @@
 	case RES_OK:
 		u->failures = 0;
 		u->blocked_until = 0;
-		note_latency(u, took);
+		u->sheds = 0;
+		note_latency(u, took, now);
 		limit_increase(u);
+		steer_broad(u, &u->evidence, took);
 		break;
 	case RES_SHED:
 		u->failures = 0;
+		note_shed(u, now);
 		limit_decrease(u, now);
 		break;
 	case RES_LOST:
 	case RES_CROSSED:
 	case RES_ERROR:
-		note_latency(u, took > u->latency ? took : u->latency);
+		note_latency(u, took > u->latency ? took : u->latency, now);
 		limit_decrease(u, now);
 		if (r == RES_LOST)
 			note_failure(u, now);
 		break;
 	case RES_CANCELLED:
-		note_latency(u, took > u->latency ? took : u->latency);
+		note_latency(u, took > u->latency ? took : u->latency, now);
 		break;
 	case RES_NOT_SENT:
 	case RES_MISS:
@@ -201,10 +221,13 @@
 
 	if (limit > u->cap)
 		limit = u->cap;
+	if (urgent)
+		return u->inflight < limit;
 	/* One place in flight is kept for urgent requests. */
-	if (!urgent && limit > 1)
+	if (limit > 1)
 		limit--;
-	return u->inflight < limit;
+	return u->inflight < limit &&
+	       u->broad_inflight < (unsigned)u->broad_limit;
 }
 
 bool upstream_lacks(const upstream_t *u, uint64_t snapshot, uint32_t map)
@@ -230,6 +253,7 @@
 		u->first = a;
 	u->last = a;
 	u->inflight++;
+	u->broad_inflight += !a->urgent;
 }
 
 void upstream_remove(upstream_t *u, attempt_t *a)
@@ -243,6 +267,7 @@
 	else
 		u->last = a->prev;
 	u->inflight--;
+	u->broad_inflight -= !a->urgent;
 }
 
 static usec_t oldest_age(const upstream_t *u, usec_t now)
@@ -257,12 +282,34 @@
 
 	if (limit < SUSPECT_MIN)
 		limit = SUSPECT_MIN;
+	/* After refusals one request at a time finds out whether it is well. */
+	if (u->shed_until > now || (u->sheds && u->inflight))
+		return true;
 	return oldest_age(u, now) > limit;
 }
 
-double upstream_expected(const upstream_t *u, usec_t now)
+/*
+ * What it was slow at fades towards half of the group's usual time while it
+ * is not used, so that one that is well again is tried again.
+ */
+static double latency_now(const upstream_t *u, usec_t now)
 {
 	double latency = u->latency ? (double)u->latency : LATENCY_FIRST;
+	usec_t age = now - u->latency_at;
+	double usual;
+
+	if (!u->group || u->latency == 0 || age < LATENCY_HALF_LIFE)
+		return latency;
+	usual = (double)u->group->usual / 2;
+	for (; age >= LATENCY_HALF_LIFE && latency > usual + 1;
+	     age -= LATENCY_HALF_LIFE)
+		latency = usual + (latency - usual) / 2;
+	return latency;
+}
+
+double upstream_expected(const upstream_t *u, usec_t now)
+{
+	double latency = latency_now(u, now);
 	usec_t oldest = oldest_age(u, now);
 	double slots = u->slots ? u->slots : 1;
 	usec_t age = now - u->heard_at;
@@ -293,4 +340,5 @@
 		free(b->v[i]);
 	}
 	free(b->v);
+	strmap_free(&b->by_addr);
 }
--- a/core/view.c
+++ b/core/view.c
@@ -1,58 +1,65 @@
 /** @file view.c Brings a configuration in force; keeps old ones in use. */
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "libcore.h"
 
+#define GROUP_KEY_MAX (2 * CONF_MAX_NAME + 16)
+
 static svc_state_t *state_get(core_t *c, str_t name)
 {
 	board_conf_t *b = &c->board.conf;
-	svc_state_t *s;
-	size_t i;
+	svc_state_t *s = strmap_get(&b->by_service, name);
 
-	for (i = 0; i < b->nstates; i++)
-		if (str_eq(b->states[i]->name, name))
-			return b->states[i];
+	if (s)
+		return s;
 	s = xcalloc(1, sizeof(*s));
 	s->name = str_dup(name);
 	s->retry.tokens = BUDGET_BURST;
 	s->hedge.tokens = BUDGET_BURST;
 	b->states = xrealloc(b->states, (b->nstates + 1) * sizeof(s));
 	b->states[b->nstates++] = s;
+	strmap_put(&b->by_service, s->name, s);
 	return s;
 }
 
-static group_t *group_find(core_t *c, str_t service, str_t name, uint32_t map)
+static str_t group_key(const conf_service_t *s, const conf_group_t *cg,
+		       char buf[GROUP_KEY_MAX])
 {
-	board_conf_t *b = &c->board.conf;
-	size_t i;
+	int n = snprintf(buf, GROUP_KEY_MAX, "%.*s/%u/%.*s", STR_ARG(s->name),
+			 s->map, STR_ARG(cg->name));
 
-	for (i = 0; i < b->ngroups; i++)
-		if (b->groups[i]->map == map &&
-		    str_eq(b->groups[i]->name, name) &&
-		    str_eq(b->groups[i]->service, service))
-			return b->groups[i];
-	return NULL;
+	return (str_t){ buf, (size_t)n };
 }
 
 static group_t *group_get(core_t *c, const conf_service_t *s,
 			  const conf_group_t *cg)
 {
 	board_conf_t *b = &c->board.conf;
-	group_t *g = group_find(c, s->name, cg->name, s->map);
+	char buf[GROUP_KEY_MAX];
+	str_t key = group_key(s, cg, buf);
+	group_t *g = strmap_get(&b->by_key, key);
 
 	if (g)
 		return g;
 	g = xcalloc(1, sizeof(*g));
+	g->key = str_dup(key);
 	g->service = str_dup(s->name);
 	g->name = str_dup(cg->name);
 	g->map = s->map;
-	b->groups = xrealloc(b->groups, (b->ngroups + 1) * sizeof(g));
+	if (b->ngroups == b->group_room) {
+		b->group_room = b->group_room ? b->group_room * 2 : 64;
+		b->groups = xrealloc(b->groups, b->group_room * sizeof(g));
+	}
+	g->place = b->ngroups;
 	b->groups[b->ngroups++] = g;
+	strmap_put(&b->by_key, g->key, g);
 	return g;
 }
 
 static void group_free(group_t *g)
 {
+	str_free(g->key);
 	str_free(g->service);
 	str_free(g->name);
 	free(g->ups);
@@ -66,12 +73,12 @@
 
 	if (--g->refs)
 		return;
-	for (i = 0; i < c->board.upstreams.n; i++)
-		if (c->board.upstreams.v[i]->group == g)
-			c->board.upstreams.v[i]->group = NULL;
-	for (i = 0; b->groups[i] != g; i++)
-		;
-	b->groups[i] = b->groups[--b->ngroups];
+	for (i = 0; i < g->nups; i++)
+		if (g->ups[i]->group == g)
+			g->ups[i]->group = NULL;
+	strmap_del(&b->by_key, g->key);
+	b->groups[g->place] = b->groups[--b->ngroups];
+	b->groups[g->place]->place = g->place;
 	group_free(g);
 }
 
@@ -97,6 +104,8 @@
 			u->slots = s->slots;
 		if (u->limit < UPSTREAM_MIN_LIMIT)
 			u->limit = cap < s->slots ? cap : s->slots;
+		if (u->broad_limit < UPSTREAM_MIN_LIMIT)
+			u->broad_limit = u->limit;
 		g->ups[i] = u;
 	}
 }
@@ -246,4 +255,6 @@
 	}
 	free(b->states);
 	free(b->groups);
+	strmap_free(&b->by_key);
+	strmap_free(&b->by_service);
 }
--- /dev/null
+++ b/ctl/completion.bash
@@ -0,0 +1,18 @@
+# Completion of geraniumslip for bash.
+_geraniumslip() {
+	local cur=${COMP_WORDS[COMP_CWORD]} prev=${COMP_WORDS[COMP_CWORD - 1]}
+	local commands="check diff status upstreams explain top drain trace"
+	local options="--daemon --token-file --json --rounds --version --help"
+
+	case "$prev" in
+	-t | --token-file | check | diff) COMPREPLY=($(compgen -f -- "$cur")) ;;
+	-d | --daemon) COMPREPLY=() ;;
+	*)
+		case "$cur" in
+		-*) COMPREPLY=($(compgen -W "$options" -- "$cur")) ;;
+		*) COMPREPLY=($(compgen -W "$commands" -f -- "$cur")) ;;
+		esac
+		;;
+	esac
+}
+complete -F _geraniumslip geraniumslip
--- a/daemon/engine.c
+++ b/daemon/engine.c
@@ -443,7 +443,7 @@
 	core_params_init(&p);
 	p.name = str_of(s->name);
 	p.dc = str_of(s->dc);
-	p.peer = str_of(s->peer);
+	p.peer = str_of(s->peer_advertise ? s->peer_advertise : s->peer);
 	p.nseeds = s->seeds ? g_strv_length(s->seeds) : 0;
 	p.seeds = xcalloc(p.nseeds, sizeof(*p.seeds));
 	for (i = 0; i < p.nseeds; i++)
--- a/daemon/libdaemon.h
+++ b/daemon/libdaemon.h
@@ -33,11 +33,12 @@
 typedef struct settings {
 	char *name;
 	char *dc;
-	char *listen;	 /* for callers */
-	char *admin;	 /* for operators */
-	char *peer;	 /* for other daemons */
-	char **platform; /* IP:PORT, ended by NULL */
-	char **seeds;	 /* peers to ask at the start, ended by NULL */
+	char *listen;	      /* for callers */
+	char *admin;	      /* for operators */
+	char *peer;	      /* for other daemons */
+	char *peer_advertise; /* where they reach it, if elsewhere */
+	char **platform;      /* IP:PORT, ended by NULL */
+	char **seeds;	      /* peers to ask at the start, ended by NULL */
 	char *admin_token;
 	char *peer_secret; /* CURVE keys, Z85 text; empty for none */
 	char *peer_public;
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -25,6 +25,7 @@
 	{ "listen", K_ADDR, AT(listen), true, 0 },
 	{ "admin", K_ADDR, AT(admin), true, 0 },
 	{ "peer", K_ADDR, AT(peer), true, 0 },
+	{ "peer_advertise", K_ADDR, AT(peer_advertise), false, 0 },
 	{ "platform", K_ADDRS, AT(platform), true, 0 },
 	{ "seeds", K_ADDRS, AT(seeds), false, 0 },
 	{ "admin_token", K_STRING, AT(admin_token), true, 0 },
--- a/standin/experiment.c
+++ b/standin/experiment.c
@@ -17,6 +17,7 @@
 typedef struct totals {
 	char load[64];
 	hist_t times;
+	hist_t added; /* before the first run and after the last one */
 	unsigned calls;
 	unsigned complete;
 	unsigned partial;
@@ -27,6 +28,12 @@
 	double runs;
 } totals_t;
 
+/* When servers began and ended to work for a request. */
+typedef struct span {
+	usec_t first;
+	usec_t last;
+} span_t;
+
 /* Splits "policy=two" into members of JSON; "holders=3" is apart. */
 static void read_variant(const step_t *s, variant_t *v)
 {
@@ -111,23 +118,57 @@
 	hist_add(&t->times, c->took);
 }
 
+static span_t *span_of(GHashTable *spans, const char *tag)
+{
+	span_t *s = g_hash_table_lookup(spans, tag);
+
+	if (s)
+		return s;
+	s = g_new0(span_t, 1);
+	g_hash_table_insert(spans, (char *)tag, s);
+	return s;
+}
+
+static GHashTable *read_spans(run_t *r, GPtrArray *all)
+{
+	GHashTable *spans =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	guint i;
+
+	for (i = 0; i < r->journal->len; i++) {
+		const lab_run_t *j = &g_array_index(r->journal, lab_run_t, i);
+		span_t *s = span_of(spans, j->tag);
+
+		if (strcmp(j->event, "run") == 0) {
+			totals_of(all, j->tag)->runs++;
+			if (s->first == 0)
+				s->first = j->t;
+		}
+		if (strcmp(j->event, "done") == 0)
+			s->last = j->t;
+	}
+	return spans;
+}
+
 static GPtrArray *add_up(run_t *r)
 {
 	GPtrArray *all = g_ptr_array_new();
+	GHashTable *spans;
+	const span_t *s;
 	guint i;
 
+	r->journal = lab_journal(r->lab);
+	spans = read_spans(r, all);
 	for (i = 0; i < r->calls->len; i++) {
 		const lab_call_t *c = r->calls->pdata[i];
+		totals_t *t = totals_of(all, c->tag);
 
-		add_call(totals_of(all, c->tag), r, c);
-	}
-	r->journal = lab_journal(r->lab);
-	for (i = 0; i < r->journal->len; i++) {
-		const lab_run_t *j = &g_array_index(r->journal, lab_run_t, i);
-
-		if (strcmp(j->event, "run") == 0)
-			totals_of(all, j->tag)->runs++;
+		add_call(t, r, c);
+		s = g_hash_table_lookup(spans, c->tag);
+		if (s && s->last)
+			hist_add(&t->added, c->took - (s->last - s->first));
 	}
+	g_hash_table_destroy(spans);
 	return all;
 }
 
@@ -150,13 +191,18 @@
 	for (i = 0; i < all->len; i++) {
 		const totals_t *t = all->pdata[i];
 
-		printf("%-18s %-10s %6u %7.1f %7.1f %7.1f %8.2f%% %7.3f "
-		       "%5u %5u %5u\n",
+		/* Its requests only let the daemons learn. */
+		if (strcmp(t->load, "warm") == 0)
+			continue;
+		printf("%-14s %-13s %6u %7.1f %7.1f %7.1f %8.2f%% %7.3f "
+		       "%5u %5u %5u %7.2f %7.2f\n",
 		       v->name, t->load, t->calls, ms(t, 0.5), ms(t, 0.99),
 		       ms(t, 0.999),
 		       t->wanted ? 100 * t->answered / t->wanted : 0,
 		       t->wanted ? t->runs / t->wanted : 0, t->partial,
-		       t->not_run, t->unknown);
+		       t->not_run, t->unknown,
+		       (double)hist_quantile(&t->added, 0.5) / 1000,
+		       (double)hist_quantile(&t->added, 0.99) / 1000);
 	}
 	fflush(stdout);
 }
@@ -195,9 +241,10 @@
 	if (!s)
 		return EXIT_FAILURE;
 	n = read_variants(s, variants);
-	printf("%-18s %-10s %6s %7s %7s %7s %9s %7s %5s %5s %5s\n", "variant",
-	       "load", "calls", "p50 ms", "p99 ms", "p99.9", "coverage",
-	       "load/1", "part", "notr", "unkn");
+	printf("%-14s %-13s %6s %7s %7s %7s %9s %7s %5s %5s %5s %7s %7s\n",
+	       "variant", "load", "calls", "p50 ms", "p99 ms", "p99.9",
+	       "coverage", "load/1", "part", "notr", "unkn", "add p50",
+	       "add p99");
 	for (i = 0; ok && i < n; i++)
 		ok = run_variant(s, &variants[i]);
 	script_free(s);
--- a/standin/lab.c
+++ b/standin/lab.c
@@ -14,7 +14,9 @@
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <zmq.h>
 
+#include "relay.h"
 #include "standin.h"
 
 #define PLATFORM_HOST 2
@@ -25,6 +27,7 @@
 #define DAEMON_PORT 8000
 #define ADMIN_PORT 8001
 #define PEER_PORT 8002
+#define RELAY_PORT 8003
 #define SERVER_PORT 9000
 #define READY_LIMIT (20 * USEC_PER_SEC)
 #define POLL_PERIOD (10 * USEC_PER_MSEC)
@@ -238,6 +241,55 @@
 	return status == 200;
 }
 
+bool lab_cut(lab_node_t *a, lab_node_t *b)
+{
+	char command[64];
+
+	if (a->role == LAB_DAEMON && b->role == LAB_DAEMON) {
+		relay_cut(a->relay, b->ip);
+		relay_cut(b->relay, a->ip);
+		return true;
+	}
+	g_snprintf(command, sizeof(command), "cut=%s", a->ip);
+	return lab_control(b, command);
+}
+
+void lab_heal(lab_t *l)
+{
+	guint i;
+
+	for (i = 0; i < l->nodes->len; i++) {
+		const lab_node_t *n = l->nodes->pdata[i];
+
+		if (n->relay)
+			relay_heal(n->relay);
+		else if (n->pid)
+			lab_control(n, "heal=1");
+	}
+}
+
+int lab_http(const char *addr, const char *method, const char *path,
+	     const char *token, const char *class_name, const char *body)
+{
+	ne_session *s = open_session(addr);
+	ne_request *req = ne_request_create(s, method, path);
+	int status = 0;
+
+	if (token)
+		ne_print_request_header(req, "Authorization", "Bearer %s",
+					token);
+	if (class_name)
+		ne_add_request_header(req, "Gs-Class", class_name);
+	if (body)
+		ne_set_request_body_buffer(req, body, strlen(body));
+	ne_set_read_timeout(s, CONTROL_TIMEOUT_S);
+	if (ne_request_dispatch(req) == NE_OK)
+		status = ne_get_status(req)->code;
+	ne_request_destroy(req);
+	ne_session_destroy(s);
+	return status;
+}
+
 bool lab_publish(lab_t *l, const char *text)
 {
 	const lab_node_t *p = lab_node(l, "platform");
@@ -264,7 +316,7 @@
 				"%s{\"name\":\"%s\",\"dc\":\"%s\","
 				"\"peer\":\"%s:%d\",\"leaving\":%s}",
 				d->len ? "," : "", n->name, n->dc, n->ip,
-				PEER_PORT, n->leaving ? "true" : "false");
+				RELAY_PORT, n->leaving ? "true" : "false");
 		if (n->role == LAB_UPSTREAM && n->leaving)
 			g_string_append_printf(u, "%s\"%s\"", u->len ? "," : "",
 					       n->addr);
@@ -305,6 +357,22 @@
 	return d;
 }
 
+double lab_number(const lab_node_t *n, const char *member)
+{
+	GString *out = g_string_new(NULL);
+	json_t *o = NULL, *v;
+	double d = -1;
+
+	if (http_once(n->addr, "GET", "/control", NULL, NULL, out) == 200)
+		o = json_loads(out->str, 0, NULL);
+	v = json_object_get(o, member);
+	if (json_is_number(v))
+		d = json_number_value(v);
+	json_decref(o);
+	g_string_free(out, TRUE);
+	return d;
+}
+
 double lab_metric(const lab_node_t *n, const char *name)
 {
 	char *addr = g_strdup_printf("%s:%d", n->ip, ADMIN_PORT);
@@ -449,6 +517,21 @@
 	return true;
 }
 
+static void add_keys(const lab_t *l, const lab_node_t *n, json_t *o)
+{
+	char wrong[16];
+	bool other;
+
+	if (!l->peer_keys)
+		return;
+	snprintf(wrong, sizeof(wrong), "d%u", l->wrong_key);
+	other = strcmp(n->name, wrong) == 0;
+	json_object_set_new(o, "peer_public_key",
+			    json_string(l->keys[other][0]));
+	json_object_set_new(o, "peer_secret_key",
+			    json_string(l->keys[other][1]));
+}
+
 static bool write_settings(const lab_t *l, const lab_node_t *n,
 			   const char *path)
 {
@@ -462,7 +545,7 @@
 
 	for (i = 0; i < l->ndaemons; i++) {
 		node_ip(l, DAEMON_HOST + i, ip);
-		snprintf(addr, sizeof(addr), "%s:%d", ip, PEER_PORT);
+		snprintf(addr, sizeof(addr), "%s:%d", ip, RELAY_PORT);
 		if (strcmp(ip, n->ip) != 0)
 			json_array_append_new(seeds, json_string(addr));
 	}
@@ -474,6 +557,9 @@
 		      "stop_grace_ms", (json_int_t)l->stop_grace_ms);
 	snprintf(addr, sizeof(addr), "%s:%d", n->ip, PEER_PORT);
 	json_object_set_new(o, "peer", json_string(addr));
+	snprintf(addr, sizeof(addr), "%s:%d", n->ip, RELAY_PORT);
+	json_object_set_new(o, "peer_advertise", json_string(addr));
+	add_keys(l, n, o);
 	more = json_loads(l->settings, 0, NULL);
 	json_object_update(o, more);
 	json_decref(more);
@@ -485,7 +571,7 @@
 static bool start_daemon(lab_t *l, unsigned i)
 {
 	GPtrArray *a = g_ptr_array_new();
-	char name[16], path[256];
+	char name[16], path[256], relay[32], peer[32];
 	lab_node_t *n;
 
 	snprintf(name, sizeof(name), "d%u", i + 1);
@@ -497,7 +583,11 @@
 	g_ptr_array_add(a, binary("geraniumslipd"));
 	g_ptr_array_add(a, g_strdup_printf("--settings=%s", path));
 	n->argv = argv_of(a);
-	return write_settings(l, n, path);
+	n->late = l->late == i + 1;
+	snprintf(relay, sizeof(relay), "%s:%d", n->ip, RELAY_PORT);
+	snprintf(peer, sizeof(peer), "%s:%d", n->ip, PEER_PORT);
+	n->relay = relay_start(relay, peer);
+	return n->relay && write_settings(l, n, path);
 }
 
 bool lab_start(lab_t *l, conf_t *conf, unsigned ndaemons)
@@ -509,6 +599,8 @@
 
 	l->conf = conf;
 	l->ndaemons = ndaemons;
+	zmq_curve_keypair(l->keys[0][0], l->keys[0][1]);
+	zmq_curve_keypair(l->keys[1][0], l->keys[1][1]);
 	if (!start_platform(l) || !start_upstreams(l) || !lab_publish(l, text))
 		goto out;
 	for (i = 0; i < ndaemons; i++)
@@ -519,14 +611,14 @@
 	for (k = 0; k < l->nodes->len; k++) {
 		lab_node_t *n = l->nodes->pdata[k];
 
-		if (n->role == LAB_DAEMON && !lab_spawn(l, n))
+		if (n->role == LAB_DAEMON && !n->late && !lab_spawn(l, n))
 			goto out;
 	}
 	ok = true;
 	for (k = 0; ok && k < l->nodes->len; k++) {
 		const lab_node_t *n = l->nodes->pdata[k];
 
-		if (n->role == LAB_DAEMON)
+		if (n->role == LAB_DAEMON && !n->late)
 			ok = lab_wait_ready(n, READY_LIMIT);
 	}
 out:
@@ -558,6 +650,7 @@
 		lab_node_t *n = l->nodes->pdata[i];
 
 		lab_signal(n, SIGKILL);
+		relay_stop(n->relay);
 		g_strfreev(n->argv);
 		g_free(n);
 	}
--- a/standin/lab.h
+++ b/standin/lab.h
@@ -33,6 +33,8 @@
 	bool leaving;
 	int exit_status; /**< of its last end */
 	char **argv;
+	struct relay *relay; /**< of a daemon: peers come through it */
+	bool late;	     /**< not started with the others */
 } lab_node_t;
 
 /** One request and what came of it. */
@@ -77,7 +79,11 @@
 	unsigned stop_grace_ms;
 	bool journal; /**< whether servers keep one */
 	char log_level[16];
-	char settings[256]; /**< more settings of daemons, JSON members */
+	char settings[256]; /**< more settings of daemons, a JSON object */
+	bool peer_keys;	    /**< whether daemons authenticate each other */
+	unsigned wrong_key; /**< number of the daemon with other keys, or 0 */
+	unsigned late; /**< number of the daemon not started at first, or 0 */
+	char keys[2][2][41]; /**< fleet's and another: public, secret */
 } lab_t;
 
 /** Makes an empty lab with a directory for its files. */
@@ -108,8 +114,17 @@
 bool lab_publish(lab_t *l, const char *text);
 /** Publishes the list of hosts as it is now. */
 bool lab_publish_hosts(lab_t *l);
+/** Cuts two nodes off from each other; one of them is a daemon. */
+bool lab_cut(lab_node_t *a, lab_node_t *b);
+/** Ends all cuts. */
+void lab_heal(lab_t *l);
+/** An HTTP request to IP:PORT; the status, or 0. */
+int lab_http(const char *addr, const char *method, const char *path,
+	     const char *token, const char *class_name, const char *body);
 /** Sends a command, as "slow=10", to a stand-in. */
 bool lab_control(const lab_node_t *n, const char *command);
+/** A number that a server's stand-in tells of itself, as "peak"; -1: none. */
+double lab_number(const lab_node_t *n, const char *member);
 /** A number that a daemon's administration gives, as "revision"; -1: none. */
 double lab_status(const lab_node_t *n, const char *member);
 /** A counter of a daemon by its name in the metrics; -1: none. */
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -31,6 +31,7 @@
 	usec_t deadline;
 	usec_t at;     /* when it is due */
 	bool replying; /* it ran; the reply is on its way */
+	bool crossed;
 	bool hung;
 	size_t place; /* in the heap */
 } job_t;
@@ -54,6 +55,7 @@
 	char cut[CUT_MAX][ADDR_HOST_MAX];
 	unsigned ncut;
 	uint64_t runs;
+	unsigned peak; /* most connections at one time */
 } server_t;
 
 static struct {
@@ -153,11 +155,8 @@
 
 static void echo(const job_t *j)
 {
-	server_t *s = j->server;
-	bool cross = s->cross_next > 0;
+	bool cross = j->crossed;
 
-	if (cross)
-		s->cross_next--;
 	MHD_add_response_header(j->r->response, "Gs-Request",
 				cross ? "00000000deadbeef" : j->id);
 	MHD_add_response_header(j->r->response, "Gs-Snapshot", j->snapshot);
@@ -252,6 +251,12 @@
 	server_t *s = j->server;
 
 	s->busy--;
+	/* The reply is another request's, whole. */
+	if (s->cross_next) {
+		s->cross_next--;
+		j->crossed = true;
+		g_strlcpy(j->tag, "another", sizeof(j->tag));
+	}
 	note(j, cancelled ? "cancel" : "done");
 	set_reply(j->r, s, cancelled ? 499 : 200,
 		  cancelled ? strdup("{}") : hits_text(j));
@@ -401,7 +406,7 @@
 {
 	const char *held = http_arg(r, "held");
 	const char *slow = http_arg(r, "slow");
-	char text[64];
+	char text[96];
 
 	if (held)
 		g_strlcpy(s->held, held, sizeof(s->held));
@@ -417,8 +422,8 @@
 	control_cut(s, http_arg(r, "cut"));
 	if (http_arg(r, "heal"))
 		s->ncut = 0;
-	snprintf(text, sizeof(text), "{\"runs\":%llu,\"busy\":%u}",
-		 (unsigned long long)s->runs, s->busy);
+	snprintf(text, sizeof(text), "{\"runs\":%llu,\"busy\":%u,\"peak\":%u}",
+		 (unsigned long long)s->runs, s->busy, s->peak);
 	set_reply(r, s, 200, strdup(text));
 }
 
@@ -432,11 +437,23 @@
 	return false;
 }
 
+/* Commands of a test are not counted: they come between requests. */
+static void note_connections(server_t *s)
+{
+	const union MHD_DaemonInfo *i = MHD_get_daemon_info(
+		s->mhd, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+
+	if (i && i->num_connections > s->peak)
+		s->peak = i->num_connections;
+}
+
 static void handle(http_request_t *r)
 {
 	server_t *s = r->server;
 
 	g_mutex_lock(&state.lock);
+	if (!g_str_has_prefix(r->url, "/control"))
+		note_connections(s);
 	if (g_str_has_prefix(r->url, "/control"))
 		control(r, s);
 	else if (is_cut(s, r))
--- /dev/null
+++ b/tests/red.sh
@@ -0,0 +1,46 @@
+#!/usr/bin/env bash
+# Shows that each proof fails without what it proves: takes a copy of the
+# tree, breaks one mechanism as a row of tests/red.table says, and runs the
+# row's test, which must fail. Names on the command line choose rows.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+make -s -j"$(nproc)"
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+git ls-files -co --exclude-standard | cpio -pdm --quiet "$copy"
+cp -a build "$copy/"
+passed=0
+failed=0
+while IFS='|' read -r name edits command; do
+	case "$name" in '' | '#'*) continue ;; esac
+	if [ $# -gt 0 ] && [[ " $* " != *" $name "* ]]; then continue; fi
+	(
+		cd "$copy"
+		IFS=';' read -ra parts <<<"$edits"
+		for part in "${parts[@]}"; do
+			file=${part%%:*}
+			cp -p "$file" "$file.was"
+			sed -i -E "${part#*:}" "$file"
+			if cmp -s "$file" "$file.was"; then
+				echo "$name: the edit of $file changes nothing"
+				exit 2
+			fi
+		done
+		make -s -j"$(nproc)" CFLAGS=-Wno-error >/dev/null 2>"$copy/make.log" || {
+			echo "$name: does not build"
+			cat "$copy/make.log"
+			exit 2
+		}
+		if eval "$command" >"$copy/out.log" 2>&1; then
+			echo "$name: STILL GREEN: $command"
+			exit 1
+		fi
+		echo "$name: red: $(grep -m1 -E ':[0-9]+: |seed [0-9]+' "$copy/out.log" || tail -1 "$copy/out.log")"
+	) && passed=$((passed + 1)) || failed=$((failed + 1))
+	find "$copy" -name '*.was' | while read -r was; do
+		mv "$was" "${was%.was}"
+		touch "${was%.was}"
+	done
+done <tests/red.table
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -39,6 +39,7 @@
 	VERB_CUT,
 	VERB_HEAL,
 	VERB_CHECK,
+	VERB_HTTP,
 	/* After "expect SUBJECT". */
 	VERB_OUTCOME,
 	VERB_SHARE,
@@ -52,6 +53,7 @@
 	VERB_RAN,
 	VERB_EXIT,
 	VERB_STATUS,
+	VERB_CONNECTIONS,
 	VERB_MAX,
 } verb_t;
 
--- a/tests/scenario_parse.c
+++ b/tests/scenario_parse.c
@@ -5,7 +5,7 @@
 
 #include "scenario.h"
 
-#define WORD_CHARS G_CSET_a_2_z G_CSET_A_2_Z G_CSET_DIGITS "_-./:=<>,*+"
+#define WORD_CHARS G_CSET_a_2_z G_CSET_A_2_Z G_CSET_DIGITS "_-./:=<>,*+{}"
 
 /** The kinds of lines. */
 typedef enum form { FORM_DEPLOYMENT, FORM_AT, FORM_EXPECT } form_t;
@@ -21,7 +21,7 @@
 	[VERB_SERVICE] = { "service", FORM_DEPLOYMENT, 5 },
 	[VERB_CLASS] = { "class", FORM_DEPLOYMENT, 5 },
 	[VERB_SERVERS] = { "servers", FORM_DEPLOYMENT, 2 },
-	[VERB_OPTION] = { "option", FORM_DEPLOYMENT, 2 },
+	[VERB_OPTION] = { "option", FORM_DEPLOYMENT, 1 },
 	[VERB_COMPARE] = { "compare", FORM_DEPLOYMENT, 1 },
 	[VERB_QUERY] = { "query", FORM_AT, 3 },
 	[VERB_LOAD] = { "load", FORM_AT, 7 },
@@ -37,6 +37,7 @@
 	[VERB_CUT] = { "cut", FORM_AT, 2 },
 	[VERB_HEAL] = { "heal", FORM_AT, 0 },
 	[VERB_CHECK] = { "check", FORM_AT, 3 },
+	[VERB_HTTP] = { "http", FORM_AT, 5 },
 	[VERB_OUTCOME] = { "outcome", FORM_EXPECT, 1 },
 	[VERB_SHARE] = { "share", FORM_EXPECT, 3 },
 	[VERB_COVERAGE] = { "coverage", FORM_EXPECT, 1 },
@@ -49,6 +50,7 @@
 	[VERB_RAN] = { "ran", FORM_EXPECT, 0 },
 	[VERB_EXIT] = { "exit", FORM_EXPECT, 1 },
 	[VERB_STATUS] = { "status", FORM_EXPECT, 2 },
+	[VERB_CONNECTIONS] = { "connections", FORM_EXPECT, 2 },
 };
 
 static void step_free(gpointer p)
--- a/tests/scenario_run.c
+++ b/tests/scenario_run.c
@@ -21,6 +21,7 @@
 static void act_cut(run_t *r, const step_t *s);
 static void act_heal(run_t *r, const step_t *s);
 static void act_check(run_t *r, const step_t *s);
+static void act_http(run_t *r, const step_t *s);
 
 static const act_fn_t acts[VERB_MAX] = {
 	[VERB_QUERY] = run_ask,	      [VERB_LOAD] = run_ask,
@@ -30,6 +31,7 @@
 	[VERB_LEAVING] = act_leaving, [VERB_LIVE] = act_leaving,
 	[VERB_PUBLISH] = act_publish, [VERB_CUT] = act_cut,
 	[VERB_HEAL] = act_heal,	      [VERB_CHECK] = act_check,
+	[VERB_HTTP] = act_http,
 };
 
 static const int signals[VERB_MAX] = {
@@ -135,36 +137,46 @@
 /* Cuts a daemon off from what the second argument names. */
 static void act_cut(run_t *r, const step_t *s)
 {
-	const lab_node_t *from = lab_node(r->lab, s->args[0]);
-	char command[64];
+	lab_node_t *from = lab_node(r->lab, s->args[0]);
 	guint i;
 
 	if (!from) {
 		run_fault(r, s->line, "no node is called %s", s->args[0]);
 		return;
 	}
-	g_snprintf(command, sizeof(command), "cut=%s", from->ip);
 	for (i = 0; i < r->lab->nodes->len; i++) {
-		const lab_node_t *n = r->lab->nodes->pdata[i];
+		lab_node_t *n = r->lab->nodes->pdata[i];
 
-		if (n->role != LAB_DAEMON &&
-		    g_pattern_match_simple(s->args[1], n->name) &&
-		    !lab_control(n, command))
+		if (n != from && g_pattern_match_simple(s->args[1], n->name) &&
+		    !lab_cut(from, n))
 			run_fault(r, s->line, "%s cannot be cut", n->name);
 	}
 }
 
 static void act_heal(run_t *r, const step_t *s)
 {
-	guint i;
-
 	(void)s;
-	for (i = 0; i < r->lab->nodes->len; i++) {
-		const lab_node_t *n = r->lab->nodes->pdata[i];
+	lab_heal(r->lab);
+}
 
-		if (n->role != LAB_DAEMON && n->pid)
-			lab_control(n, "heal=1");
+/* http NODE front|admin METHOD PATH STATUS [class C] [token T] [body B] */
+static void act_http(run_t *r, const step_t *s)
+{
+	const lab_node_t *n = lab_node(r->lab, s->args[0]);
+	char addr[32];
+	int status;
+
+	if (!n) {
+		run_fault(r, s->line, "no node is called %s", s->args[0]);
+		return;
 	}
+	g_snprintf(addr, sizeof(addr), "%s:%s", n->ip,
+		   strcmp(s->args[1], "admin") == 0 ? "8001" : "8000");
+	status = lab_http(addr, s->args[2], s->args[3], step_arg(s, "token"),
+			  step_arg(s, "class"), step_arg(s, "body"));
+	if (status != (int)strtol(s->args[4], NULL, 10))
+		run_fault(r, s->line, "%s %s: HTTP status %d", s->args[2],
+			  s->args[3], status);
 }
 
 static void check_node(run_t *r, const step_t *s, lab_node_t *n)
@@ -203,6 +215,9 @@
 			g_strlcpy(l->policy, v, sizeof(l->policy));
 		if ((v = step_arg(s, "log")))
 			g_strlcpy(l->log_level, v, sizeof(l->log_level));
+		l->peer_keys |= step_has(s, "peer_keys");
+		l->wrong_key = (unsigned)step_num(s, "wrong_key", l->wrong_key);
+		l->late = (unsigned)step_num(s, "late", l->late);
 		l->service_us =
 			(unsigned)step_num(s, "service_us", l->service_us);
 		l->sigma_percent =
