Let broad work leave no queue at servers; three holders a group in the deployments

Cause: with a queue of one allowed, a flood of broad queries still held urgent p99 at 115 ms beside 82 alone (3 holders).

Change: any queue that a server tells of lowers its broad limit. The two deployments connect 3 daemons to a group.

--- a/core/libcore.h
+++ b/core/libcore.h
@@ -8,7 +8,6 @@
 #define SHARD_MAX_TRIES 12
 #define QUERY_MAX_RESTARTS 6
 #define UPSTREAM_MIN_LIMIT 1.0
-#define QUEUE_TARGET 1 /* requests that may wait at a server */
 #define SLOW_MEDIANS 3 /* of the group: a server this slow is too full */
 
 #define GOSSIP_PERIOD (500 * USEC_PER_MSEC)
--- a/core/upstream.c
+++ b/core/upstream.c
@@ -88,7 +88,7 @@
 static void steer_broad(upstream_t *u, const evidence_t *e, usec_t took)
 {
 	usec_t usual = u->group ? u->group->usual : 0;
-	bool full = e->valid && e->queued > QUEUE_TARGET;
+	bool full = e->valid && e->queued > 0;
 
 	if (usual && took > SLOW_MEDIANS * usual)
 		full = true;
--- a/deploy/deploy.h
+++ b/deploy/deploy.h
@@ -10,6 +10,7 @@
 #define DEPLOY_DCS 3
 #define DEPLOY_HOST 100 /* last part of the first host's address */
 #define DEPLOY_PORT 9000
+#define DEPLOY_HOLDERS 3    /* daemons that connect to a group */
 #define DEPLOY_PER_HOST 100 /* servers of one host */
 
 static const char *deploy_network = "127.0.0";
@@ -39,6 +40,7 @@
 	char name[16], ip[32];
 	unsigned i, j, at;
 
+	conf_set_holders(b, DEPLOY_HOLDERS);
 	for (i = 0; i < n; i++) {
 		snprintf(name, sizeof(name), "g%02u", i);
 		conf_add_group(b, name);
