After a sleep wait for the list; keep servers of held groups only

Change: a server's own word counts only while the platform is known to be down by a read begun after the sleep. Memory for servers and latencies is taken for held groups only.

--- a/core/attempt.c
+++ b/core/attempt.c
@@ -43,8 +43,8 @@
 
 static usec_t hedge_delay(const core_t *c, const group_t *g)
 {
-	usec_t median = hist_quantile(&g->latency, 0.5);
-	usec_t high = hist_quantile(&g->latency, c->params.hedge_quantile);
+	usec_t median = hist_quantile(g->latency, 0.5);
+	usec_t high = hist_quantile(g->latency, c->params.hedge_quantile);
 
 	/* A straggler that has a third of the counts must not set it. */
 	if (high > HEDGE_MEDIANS * median)
@@ -59,7 +59,8 @@
 
 	if (c->params.hedge_quantile <= 0 || !q->class->idempotent)
 		return;
-	if (sh->group->latency.total < HEDGE_MIN_SAMPLES)
+	if (!sh->group->latency ||
+	    sh->group->latency->total < HEDGE_MIN_SAMPLES)
 		at = now + (q->deadline - now) / HEDGE_BLIND_PART;
 	else
 		at = now + hedge_delay(c, sh->group);
@@ -116,6 +117,17 @@
 		arm_hedge(c, sh, a->id, now);
 }
 
+static void count_latency(group_t *g, usec_t took)
+{
+	if (!g->latency)
+		g->latency = xcalloc(1, sizeof(*g->latency));
+	hist_add(g->latency, took);
+	if (g->latency->total > HIST_DECAY_AT)
+		hist_decay(g->latency);
+	if (g->latency->total % USUAL_EVERY == 0)
+		g->usual = hist_quantile(g->latency, 0.5);
+}
+
 static void note_result(core_t *c, const attempt_t *a, result_t r,
 			const event_t *ev, usec_t now)
 {
@@ -133,14 +145,8 @@
 	upstream_result(u, r, now - a->sent_at, now);
 	if (r == RES_NOT_SENT && ev->attempt.connect_failed)
 		upstream_unreachable(u, now);
-	if (r == RES_OK && u->group) {
-		hist_add(&u->group->latency, now - a->sent_at);
-		if (u->group->latency.total > HIST_DECAY_AT)
-			hist_decay(&u->group->latency);
-		if (u->group->latency.total % USUAL_EVERY == 0)
-			u->group->usual =
-				hist_quantile(&u->group->latency, 0.5);
-	}
+	if (r == RES_OK && u->group)
+		count_latency(u->group, now - a->sent_at);
 }
 
 static bool was_not_run(result_t r)
--- a/core/core.c
+++ b/core/core.c
@@ -112,9 +112,8 @@
 
 static void on_list_failed(core_t *c, event_t *ev, usec_t now)
 {
-	(void)ev;
 	(void)now;
-	list_failed(c);
+	list_failed(c, ev->list.at);
 }
 
 static void on_conf(core_t *c, event_t *ev, usec_t now)
--- a/core/holder.c
+++ b/core/holder.c
@@ -83,21 +83,6 @@
 	}
 }
 
-/* Connections follow the blocks that this daemon holds. */
-static void set_caps(core_t *c, const view_t *v, const svc_t *s)
-{
-	unsigned cap = conf_share(v->conf, s->conf);
-	const group_t *g;
-	size_t i, j;
-
-	(void)c;
-	for (i = 0; i < s->ngroups; i++) {
-		g = s->groups[i];
-		for (j = 0; j < g->nups; j++)
-			g->ups[j]->cap = holder_is_self(s, i) ? cap : 0;
-	}
-}
-
 void holder_assign(core_t *c, view_t *v)
 {
 	size_t i, b;
@@ -108,7 +93,6 @@
 		s = &v->svcs[i];
 		for (b = 0; b < s->nblocks; b++)
 			assign_block(c, v, s, b);
-		set_caps(c, v, s);
 	}
 }
 
--- a/core/libcore.h
+++ b/core/libcore.h
@@ -154,11 +154,11 @@
 	shard_t *head;
 	shard_t *tail;
 	size_t nwaiting;
-	unsigned refs; /* views that name it */
-	uint64_t turn; /* for round robin */
-	hist_t latency;
-	usec_t usual; /* median of latency, by the last look */
-	size_t nheld; /* as a holder told of it */
+	unsigned refs;	 /* views that name it */
+	uint64_t turn;	 /* for round robin */
+	hist_t *latency; /* NULL until something was counted */
+	usec_t usual;	 /* median of latency, by the last look */
+	size_t nheld;	 /* as a holder told of it */
 	holding_t held[CORE_MAX_HELD];
 };
 
@@ -441,7 +441,7 @@
 /* list.c */
 void list_take(core_t *c, const host_list_t *l, usec_t at, usec_t now);
 void list_same(core_t *c, uint64_t version, usec_t at);
-void list_failed(core_t *c);
+void list_failed(core_t *c, usec_t at);
 void list_woke(core_t *c, usec_t now);
 void list_apply_leaving(core_t *c, usec_t now);
 void list_free(core_t *c);
@@ -452,7 +452,7 @@
 /* Lets go of it when the next step begins. */
 void view_unref_later(core_t *c, view_t *v);
 /* Finds the holders anew, after a change of list or configuration. */
-void view_holders(core_t *c);
+void view_holders(core_t *c, usec_t now);
 void view_free_all(core_t *c);
 
 /* queue.c */
@@ -507,6 +507,7 @@
 void query_timer(core_t *c, const timer_entry_t *t, usec_t now);
 
 /* holder.c */
+/* Finds the holders of every block of a view. */
 void holder_assign(core_t *c, view_t *v);
 bool holder_is_self(const svc_t *s, size_t group);
 /* The daemon a key belongs to by the list; NULL without a list. */
--- a/core/list.c
+++ b/core/list.c
@@ -80,7 +80,7 @@
 {
 	key_list_changes(c, now);
 	copy_list(&c->board.list, l);
-	view_holders(c);
+	view_holders(c, now);
 	peer_news(c);
 }
 
@@ -104,14 +104,17 @@
 		confirm(c, at);
 }
 
-void list_failed(core_t *c)
+void list_failed(core_t *c, usec_t at)
 {
-	c->board.list.platform_down = true;
+	/* A read that failed through a pause tells nothing. */
+	if (at >= c->board.list.woke_at)
+		c->board.list.platform_down = true;
 }
 
 void list_woke(core_t *c, usec_t now)
 {
 	c->board.list.slept = true;
+	c->board.list.platform_down = false;
 	c->board.list.woke_at = now;
 }
 
--- a/core/upstream.c
+++ b/core/upstream.c
@@ -194,12 +194,15 @@
 		return INT64_MAX;
 	if (l->confirmed_at)
 		until = l->confirmed_at + LIST_LEASE;
-	/* A server's own word counts if it came after any pause. */
+	if (!l->platform_down)
+		return until;
+	/* The list cannot be had: what this process knew, if it did not sleep.
+	 */
+	if (!l->slept && now + EVIDENCE_LEASE > until)
+		until = now + EVIDENCE_LEASE;
+	/* Else the server's own word, if it came after the sleep. */
 	if (u->heard_at > l->woke_at && u->heard_at + EVIDENCE_LEASE > until)
 		until = u->heard_at + EVIDENCE_LEASE;
-	/* The platform is down and this process did not sleep. */
-	if (l->platform_down && !l->slept && now + EVIDENCE_LEASE > until)
-		until = now + EVIDENCE_LEASE;
 	return until;
 }
 
--- a/core/view.c
+++ b/core/view.c
@@ -62,6 +62,7 @@
 	str_free(g->key);
 	str_free(g->service);
 	str_free(g->name);
+	free(g->latency);
 	free(g->ups);
 	free(g);
 }
@@ -177,12 +178,54 @@
 	}
 }
 
-void view_holders(core_t *c)
+/* Queries that wait for a group that others hold now start over. */
+static void send_on(core_t *c, group_t *g, usec_t now)
 {
-	if (!c->board.conf.view)
+	shard_t *sh;
+
+	while ((sh = g->head)) {
+		queue_remove(sh);
+		shard_start(c, sh, WHY_RETRY, now);
+	}
+}
+
+/* Only groups held here take memory for their servers. */
+static void set_groups(core_t *c, const view_t *v, const svc_t *s, usec_t now)
+{
+	unsigned share = conf_share(v->conf, s->conf);
+	group_t *g;
+	size_t i;
+
+	for (i = 0; i < s->ngroups; i++) {
+		g = s->groups[i];
+		if (holder_is_self(s, i)) {
+			set_servers(c, s->conf, &s->conf->groups[i], g, share);
+			continue;
+		}
+		free(g->ups);
+		g->ups = NULL;
+		g->nups = 0;
+		if (g->nwaiting)
+			send_on(c, g, now);
+	}
+}
+
+void view_holders(core_t *c, usec_t now)
+{
+	view_t *v = c->board.conf.view;
+	size_t i;
+
+	if (!v)
 		return;
-	holder_assign(c, c->board.conf.view);
+	for (i = 0; i < c->board.upstreams.n; i++) {
+		c->board.upstreams.v[i]->cap = 0;
+		c->board.upstreams.v[i]->group = NULL;
+	}
+	holder_assign(c, v);
+	for (i = 0; i < v->nsvcs; i++)
+		set_groups(c, v, &v->svcs[i], now);
 	set_pools(c);
+	list_apply_leaving(c, now);
 }
 
 static bool refuse(core_t *c, conf_t *conf)
@@ -207,30 +250,16 @@
 {
 	board_conf_t *b = &c->board.conf;
 	view_t *old = b->view;
-	size_t i, j;
 
 	if (refuse(c, conf))
 		return;
-	for (i = 0; i < c->board.upstreams.n; i++) {
-		c->board.upstreams.v[i]->cap = 0;
-		c->board.upstreams.v[i]->group = NULL;
-	}
 	b->view = view_new(c, conf);
 	b->learnt_at = now;
-	for (i = 0; i < conf->nservices; i++) {
-		const conf_service_t *s = &conf->services[i];
-
-		for (j = 0; j < s->ngroups; j++)
-			set_servers(c, s, &s->groups[j],
-				    b->view->svcs[i].groups[j],
-				    conf_share(conf, s));
-	}
-	view_holders(c);
+	view_holders(c, now);
 	act_add(c, ACT_CONF)->conf = conf;
 	act_log(c, &(decision_line_t){ .what = DEC_CONFIG,
 				       .why = WHY_NEWER_REVISION,
 				       .n = conf->revision });
-	list_apply_leaving(c, now);
 	if (old)
 		view_unref(c, old);
 	peer_news(c);
--- a/standin/bench.c
+++ b/standin/bench.c
@@ -143,6 +143,28 @@
 	step(c, &ev, 1, acts);
 }
 
+/* What a daemon that is no holder keeps of so many groups. */
+static double memory_away(unsigned groups)
+{
+	char *text = make_conf(1, groups, 1, 1);
+	size_t before = mallinfo2().uordblks;
+	host_list_t l = make_list(2, 1);
+	acts_t acts = { 0 };
+	core_t *c = make_core(0);
+	double cost;
+
+	/* It is not on the list itself. */
+	l.daemons[0].name = STR("other1");
+	l.daemons[1].name = STR("other2");
+	give_list(c, &l, &acts);
+	take_conf(c, parse(text), &acts);
+	acts_free(&acts);
+	cost = (double)(mallinfo2().uordblks - before);
+	core_free(c);
+	free(text);
+	return cost;
+}
+
 static void bench_conf(void)
 {
 	static const unsigned groups[SIZES] = { 100, 300, 1000, 2000, 4000 };
@@ -155,9 +177,12 @@
 	row_t adopt = { .what = "bring in force",
 			.unit = "us",
 			.per = "server" };
-	row_t mem = { .what = "memory of core and model",
+	row_t mem = { .what = "memory, groups held here",
 		      .unit = "bytes",
 		      .per = "server" };
+	row_t away = { .what = "memory, groups held elsewhere",
+		       .unit = "bytes",
+		       .per = "server" };
 	int i;
 
 	for (i = 0; i < SIZES; i++) {
@@ -174,6 +199,8 @@
 		acts_free(&acts);
 		bytes.size[i] = time.size[i] = adopt.size[i] = mem.size[i] =
 			groups[i] * REPLICAS;
+		away.size[i] = groups[i] * REPLICAS;
+		away.cost[i] = memory_away(groups[i]);
 		bytes.cost[i] = (double)strlen(text);
 		time.cost[i] = (double)(t1 - t0);
 		adopt.cost[i] = (double)(t2 - t1);
@@ -185,6 +212,7 @@
 	print(&time);
 	print(&adopt);
 	print(&mem);
+	print(&away);
 }
 
 static void bench_delta(void)
--- a/tests/unit_walk.c
+++ b/tests/unit_walk.c
@@ -381,8 +381,9 @@
 	ev.probe.evidence.nheld = 2;
 	ev.probe.evidence.held[0] = (holding_t){ 1, d->oldest };
 	ev.probe.evidence.held[1] = (holding_t){ 1, d->oldest + 1 };
-	/* A leaving server's own word says so. */
-	ev.probe.evidence.draining = d->leaving[server];
+	/* A leaving server's own word need not say so. */
+	ev.probe.evidence.draining =
+		d->leaving[server] && rng_below(&w->rng, 2);
 	step(w, &ev);
 }
 
@@ -396,6 +397,7 @@
 
 	if (!d->up) {
 		ev.kind = EV_LIST_FAILED;
+		ev.list.at = d->at;
 		step(w, &ev);
 		return;
 	}
