Show each proof red without its mechanism; stronger proofs where it stayed green

Cause: a proof that cannot fail proves nothing. tests/red.sh breaks one mechanism at a time in a copy and runs the proof, which must fail.

Found: 5 of 20 rows stayed green: the last look (never reached by once-frozen-daemon), the date of a server's word, the planned stop (no request was open at the end of the grace), the static share, and a leaving server's word after a sleep (the walk delivered lists first).

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
 
 PROGRAMS = geraniumslipd standin-upstream standin-platform scenario \
-	experiment bench unit deploy-marea-viva deploy-balapan
+	experiment spread bench unit deploy-marea-viva deploy-balapan
 ifneq ($(CTL),)
 PROGRAMS += geraniumslip
 endif
@@ -55,11 +55,14 @@
 $(BUILD)/experiment: $(call obj,$(BASE) $(CONF) $(LAB) $(PLAY) standin/experiment.c)
 	$(CC) -o $@ $^ $(LIBS)
 
+$(BUILD)/spread: $(call obj,$(BASE) $(CONF) $(LAB) standin/spread.c)
+	$(CC) -o $@ $^ $(LIBS)
+
 $(BUILD)/bench: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) standin/http.c standin/bench.c)
 	$(CC) -o $@ $^ $(LIBS)
 
 UNIT = $(wildcard tests/unit_*.c)
-$(BUILD)/unit: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) $(UNIT))
+$(BUILD)/unit: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) daemon/job.c $(UNIT))
 	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
 
 # The operators' library.
--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "libdaemon.h"
 
@@ -122,6 +123,25 @@
 				       (unsigned long long)rows[i].n);
 }
 
+/* What the process has used so far. */
+static void append_process(GString *s)
+{
+	struct rusage u;
+	double cpu;
+
+	getrusage(RUSAGE_SELF, &u);
+	cpu = (double)(u.ru_utime.tv_sec + u.ru_stime.tv_sec) +
+	      (double)(u.ru_utime.tv_usec + u.ru_stime.tv_usec) / 1e6;
+	g_string_append_printf(s,
+			       "# TYPE geraniumslip_process_cpu_seconds_total "
+			       "counter\n"
+			       "geraniumslip_process_cpu_seconds_total %.6f\n"
+			       "# TYPE geraniumslip_process_resident_bytes "
+			       "gauge\n"
+			       "geraniumslip_process_resident_bytes %lld\n",
+			       cpu, (long long)u.ru_maxrss * 1024);
+}
+
 static void page_metrics(admin_ask_t *ask, const admin_view_t *v)
 {
 	GString *s = g_string_new(NULL);
@@ -150,6 +170,7 @@
 			       r.open_queries,
 			       (unsigned long long)log_dropped());
 	append_peers(s, v->counts);
+	append_process(s);
 	ask->text = strdup(s->str);
 	ask->status = MHD_HTTP_OK;
 	g_string_free(s, TRUE);
--- a/daemon/dialect.c
+++ b/daemon/dialect.c
@@ -30,15 +30,6 @@
 	.cancel = plain_cancel,
 };
 
-bool job_last_look(job_t *j, usec_t now)
-{
-	int want = JOB_QUEUED;
-
-	if (now > j->send_by)
-		return false;
-	return atomic_compare_exchange_strong(&j->state, &want, JOB_SENDING);
-}
-
 static const char *job_id(const job_t *j, char buf[ID_MAX])
 {
 	g_snprintf(buf, ID_MAX, "%016" G_GINT64_MODIFIER "x", (guint64)j->aid);
--- a/daemon/libdaemon.h
+++ b/daemon/libdaemon.h
@@ -204,6 +204,8 @@
 
 /** Takes the job for sending if it may still be sent now. */
 bool job_last_look(job_t *j, usec_t now);
+/** Calls the job back if it was not taken for sending. */
+bool job_withdraw(job_t *j);
 
 /* loader.c */
 loader_t *loader_start(engine_t *e);
--- a/standin/bench.c
+++ b/standin/bench.c
@@ -281,12 +281,14 @@
 		usec_t t0;
 
 		free(wire_encode(&m, &sz));
-		take_conf(c, parse(text), &acts);
 		before = mallinfo2().uordblks;
+		give_list(c, &l, &acts);
+		mem.cost[i] = (double)(mallinfo2().uordblks - before);
+		take_conf(c, parse(text), &acts);
+		l.version++;
 		t0 = standin_now();
 		give_list(c, &l, &acts);
 		time.cost[i] = (double)(standin_now() - t0);
-		mem.cost[i] = (double)(mallinfo2().uordblks - before);
 		bytes.cost[i] = (double)sz;
 		bytes.size[i] = time.size[i] = mem.size[i] = daemons[i];
 		core_free(c);
@@ -313,9 +315,15 @@
 		core_t *c = make_core(0);
 		acts_t acts = { 0 };
 		peer_msg_t m = { .kind = PEER_DIGEST,
-				 .from = STR("d1"),
+				 .from = STR("dc07-host0123"),
 				 .reply_to = STR("10.9.0.1:8002"),
-				 .list_version = 1 };
+				 .token = 1ULL << 40,
+				 .revision = 1 << 20,
+				 .conf_hash = ~0ULL,
+				 .list_version = 1 << 20,
+				 .list_age = 1 << 20,
+				 .clock = 1LL << 40,
+				 .incarnation = ~0ULL };
 		usec_t t0;
 
 		give_list(c, &l, &acts);
--- a/tests/red.sh
+++ b/tests/red.sh
@@ -11,7 +11,7 @@
 cp -a build "$copy/"
 passed=0
 failed=0
-while IFS='|' read -r name edits command; do
+while IFS=$'\t' read -r name edits command; do
 	case "$name" in '' | '#'*) continue ;; esac
 	if [ $# -gt 0 ] && [[ " $* " != *" $name "* ]]; then continue; fi
 	(
@@ -31,7 +31,7 @@
 			cat "$copy/make.log"
 			exit 2
 		}
-		if eval "$command" >"$copy/out.log" 2>&1; then
+		if eval "timeout 100 $command" >"$copy/out.log" 2>&1; then
 			echo "$name: STILL GREEN: $command"
 			exit 1
 		fi
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -9,5 +9,6 @@
 void unit_walk(void);
 void unit_wire(void);
 void unit_fleet(void);
+void unit_daemon(void);
 
 #endif
--- a/tests/unit_conf.c
+++ b/tests/unit_conf.c
@@ -146,6 +146,24 @@
 	conf_free(c);
 }
 
+/* Holders by two lists that differ by half still fit the server's limit. */
+static void test_share(void)
+{
+	conf_t c = { .max_daemons = 9 };
+	conf_service_t s = { 0 };
+	unsigned k, most;
+
+	for (s.connections = 9; s.connections <= 110; s.connections++)
+		for (k = 0; k <= 9; k++) {
+			s.holders = k;
+			most = k ? k + (k + 1) / 2 : c.max_daemons;
+			if (most > c.max_daemons)
+				most = c.max_daemons;
+			CU_ASSERT(conf_share(&c, &s) >= 1);
+			CU_ASSERT(conf_share(&c, &s) * most <= s.connections);
+		}
+}
+
 void unit_conf(void)
 {
 	CU_pSuite s = CU_add_suite("conf", NULL, NULL);
@@ -154,4 +172,5 @@
 	CU_add_test(s, "canonical text", test_canonical);
 	CU_add_test(s, "builder collects", test_builder_collects);
 	CU_add_test(s, "store delta", test_store_delta);
+	CU_add_test(s, "share", test_share);
 }
--- a/tests/unit_core.c
+++ b/tests/unit_core.c
@@ -109,7 +109,7 @@
 	step(b, &ev);
 }
 
-static void probe(bench_t *b, unsigned port)
+static void probe_at(bench_t *b, unsigned port, usec_t at)
 {
 	event_t ev = { .kind = EV_PROBE };
 	char addr[32];
@@ -117,13 +117,18 @@
 	snprintf(addr, sizeof(addr), "127.0.0.1:%u", port);
 	ev.probe.addr = str_of(addr);
 	ev.probe.ok = true;
-	ev.probe.at = b->now;
+	ev.probe.at = at;
 	ev.probe.evidence = (evidence_t){ .valid = true, .slots = 3 };
 	ev.probe.evidence.nheld = 1;
 	ev.probe.evidence.held[0] = (holding_t){ 1, 1 };
 	step(b, &ev);
 }
 
+static void probe(bench_t *b, unsigned port)
+{
+	probe_at(b, port, b->now);
+}
+
 static bench_t *begin(unsigned deadline_ms, unsigned connections)
 {
 	bench_t *b = xcalloc(1, sizeof(*b));
@@ -258,6 +263,31 @@
 	end(b);
 }
 
+/* With the platform down, only a server's word from after the sleep counts. */
+static void test_old_word(void)
+{
+	event_t failed = { .kind = EV_LIST_FAILED };
+	bench_t *b = begin(1000, 30);
+	usec_t before = b->now;
+
+	b->now += 10 * USEC_PER_SEC;
+	failed.list.at = b->now;
+	step(b, &failed);
+	failed.list.at = b->now;
+	step(b, &failed);
+	ask(b, "urgent");
+	CU_ASSERT_EQUAL(b->nsent, 0);
+	probe_at(b, 1, before + USEC_PER_SEC);
+	b->now += 30 * USEC_PER_MSEC;
+	step(b, &(event_t){ .kind = EV_TICK });
+	CU_ASSERT_EQUAL(b->nsent, 0);
+	probe(b, 1);
+	b->now += 30 * USEC_PER_MSEC;
+	step(b, &(event_t){ .kind = EV_TICK });
+	CU_ASSERT_EQUAL(b->nsent, 1);
+	end(b);
+}
+
 /* A server that was slow is tried again when it was not used for long. */
 static void test_slow_server_returns(void)
 {
@@ -346,6 +376,7 @@
 	CU_add_test(s, "urgent first", test_urgent_first);
 	CU_add_test(s, "retry budget", test_retry_budget);
 	CU_add_test(s, "a pause needs a word", test_pause_needs_word);
+	CU_add_test(s, "an old word does not count", test_old_word);
 	CU_add_test(s, "a slow server returns", test_slow_server_returns);
 	CU_add_test(s, "same revision", test_same_revision);
 	CU_add_test(s, "readers", test_readers);
--- /dev/null
+++ b/tests/unit_daemon.c
@@ -0,0 +1,47 @@
+/** @file unit_daemon.c Tests of the daemon's own small parts. */
+#include <CUnit/CUnit.h>
+
+#include "libdaemon.h"
+#include "unit.h"
+
+static void test_last_look(void)
+{
+	static const struct {
+		int state;
+		usec_t now;
+		bool sent;
+	} cases[] = {
+		{ JOB_QUEUED, 99, true },   { JOB_QUEUED, 100, true },
+		{ JOB_QUEUED, 101, false }, { JOB_WITHDRAWN, 99, false },
+		{ JOB_SENDING, 99, false },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		job_t j = { .send_by = 100 };
+
+		atomic_init(&j.state, cases[i].state);
+		CU_ASSERT_EQUAL(job_last_look(&j, cases[i].now), cases[i].sent);
+	}
+}
+
+/* Either it is sent or it is withdrawn, never both. */
+static void test_withdraw(void)
+{
+	job_t j = { .send_by = 100 };
+
+	CU_ASSERT(job_withdraw(&j));
+	CU_ASSERT(!job_last_look(&j, 1));
+	CU_ASSERT(!job_withdraw(&j));
+	atomic_store(&j.state, JOB_QUEUED);
+	CU_ASSERT(job_last_look(&j, 1));
+	CU_ASSERT(!job_withdraw(&j));
+}
+
+void unit_daemon(void)
+{
+	CU_pSuite s = CU_add_suite("daemon", NULL, NULL);
+
+	CU_add_test(s, "last look", test_last_look);
+	CU_add_test(s, "withdraw", test_withdraw);
+}
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -12,6 +12,7 @@
 	unit_base();
 	unit_conf();
 	unit_core();
+	unit_daemon();
 	unit_wire();
 	unit_fleet();
 	unit_walk();
--- a/tests/unit_walk.c
+++ b/tests/unit_walk.c
@@ -414,14 +414,15 @@
 	step(w, &ev);
 }
 
-/* Takes a word that waited, the oldest first. */
+/* Takes a word that waited, in any order. */
 static void do_word(walk_t *w)
 {
+	unsigned first = (unsigned)rng_below(&w->rng, MAX_WORDS);
 	word_t *d;
 	unsigned i;
 
 	for (i = 0; i < MAX_WORDS; i++) {
-		d = &w->words[(w->nwords + i) % MAX_WORDS];
+		d = &w->words[(first + i) % MAX_WORDS];
 		if (!d->held)
 			continue;
 		d->held = false;
@@ -465,7 +466,7 @@
 
 	if (rng_below(&w->rng, 4) == 0)
 		passed *= 15;
-	if (rng_below(&w->rng, 60) == 0) /* the process pauses */
+	if (rng_below(&w->rng, 25) == 0) /* the process pauses */
 		passed = (usec_t)rng_below(&w->rng, 10 * USEC_PER_SEC);
 	w->now += passed;
 	/* The list is read often, but not while the process pauses. */
