--- a/tests/unit_core.c
+++ b/tests/unit_core.c
@@ -277,6 +277,7 @@
 	step(b, &failed);
 	ask(b, "urgent");
 	CU_ASSERT_EQUAL(b->nsent, 0);
+	b->now += USEC_PER_MSEC;
 	probe_at(b, 1, before + USEC_PER_SEC);
 	b->now += 30 * USEC_PER_MSEC;
 	step(b, &(event_t){ .kind = EV_TICK });
