--- a/tests/unit_daemon.c
+++ b/tests/unit_daemon.c
@@ -7,13 +7,13 @@
 static void test_last_look(void)
 {
 	static const struct {
-		int state;
 		usec_t now;
+		int state;
 		bool sent;
 	} cases[] = {
-		{ JOB_QUEUED, 99, true },   { JOB_QUEUED, 100, true },
-		{ JOB_QUEUED, 101, false }, { JOB_WITHDRAWN, 99, false },
-		{ JOB_SENDING, 99, false },
+		{ 99, JOB_QUEUED, true },   { 100, JOB_QUEUED, true },
+		{ 101, JOB_QUEUED, false }, { 99, JOB_WITHDRAWN, false },
+		{ 99, JOB_SENDING, false },
 	};
 	size_t i;
 
