Look through msgpack's counts before the library allocates by them

Cause: under the thread sanitizer the mutation test of peer messages ended with an allocation of 128 GiB: msgpack's reader allocates what an array header counts, whatever follows. A peer with the key could have made a daemon ask for as much.

Ruled out: the size limit (the message was a few bytes).

The new cases are red only where the allocator refuses, as under the sanitizer.

--- a/tests/unit_wire.c
+++ b/tests/unit_wire.c
@@ -100,6 +100,13 @@
 		{ "\x92\x01\x7f", 3, WIRE_E_KIND },
 		{ "\x92\x01\x00", 3, WIRE_E_FORMAT },	  /* no members */
 		{ "\x92\x01\x00\x00", 4, WIRE_E_FORMAT }, /* more behind */
+		/* Headers that count 4 billion objects, pairs, bytes. */
+		{ "\xdd\xff\xff\xff\xff", 5, WIRE_E_FORMAT },
+		{ "\xdf\xff\xff\xff\xff", 5, WIRE_E_FORMAT },
+		{ "\x92\x01\xdb\xff\xff\xff\xff", 7, WIRE_E_FORMAT },
+		/* Deeper than any message. */
+		{ "\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x01", 11,
+		  WIRE_E_FORMAT },
 	};
 	size_t i;
 
--- a/wire/wire_decode.c
+++ b/wire/wire_decode.c
@@ -277,6 +277,8 @@
 	memset(m, 0, sizeof(*m));
 	if (sz > WIRE_MAX_BYTES)
 		return WIRE_E_SIZE;
+	if (!wire_scan(bytes, sz))
+		return WIRE_E_FORMAT;
 	msgpack_unpacked_init(&u);
 	if (msgpack_unpack_next(&u, bytes, sz, &off) ==
 		    MSGPACK_UNPACK_SUCCESS &&
