--- a/core/libcore.h
+++ b/core/libcore.h
@@ -451,6 +451,8 @@
 void view_unref(core_t *c, view_t *v);
 /* Lets go of it when the next step begins. */
 void view_unref_later(core_t *c, view_t *v);
+/* Whether each group held here has a server that was heard of. */
+bool view_heard(const core_t *c, usec_t now);
 /* Finds the holders anew, after a change of list or configuration. */
 void view_holders(core_t *c, usec_t now);
 void view_free_all(core_t *c);
--- a/core/report.c
+++ b/core/report.c
@@ -15,7 +15,7 @@
 		.list_age =
 			b->list.confirmed_at ? now - b->list.confirmed_at : -1,
 		.ready = b->conf.view && b->list.list.version && !c->stopping &&
-			 peer_caught_up(c, now),
+			 peer_caught_up(c, now) && view_heard(c, now),
 		.stopping = c->stopping,
 		.open_queries = c->queries.used - c->nover,
 		.open_attempts = c->attempts.used,
--- a/core/view.c
+++ b/core/view.c
@@ -228,6 +228,31 @@
 	list_apply_leaving(c, now);
 }
 
+static bool group_heard(const group_t *g)
+{
+	size_t i;
+
+	for (i = 0; i < g->nups; i++)
+		if (g->ups[i]->evidence.valid)
+			return true;
+	return g->nups == 0;
+}
+
+bool view_heard(const core_t *c, usec_t now)
+{
+	const board_conf_t *b = &c->board.conf;
+	size_t i, j;
+
+	/* Groups that are down must not keep it from serving the rest. */
+	if (now - b->learnt_at > START_ALONE)
+		return true;
+	for (i = 0; i < b->view->nsvcs; i++)
+		for (j = 0; j < b->view->svcs[i].ngroups; j++)
+			if (!group_heard(b->view->svcs[i].groups[j]))
+				return false;
+	return true;
+}
+
 static bool refuse(core_t *c, conf_t *conf)
 {
 	const view_t *v = c->board.conf.view;
--- a/tests/unit_core.c
+++ b/tests/unit_core.c
@@ -329,6 +329,33 @@
 	end(b);
 }
 
+/* Not ready until servers told what they hold; a dead group is not waited for.
+ */
+static void test_ready(void)
+{
+	bench_t *b = xcalloc(1, sizeof(*b));
+	core_params_t p;
+	core_report_t r;
+
+	core_params_init(&p);
+	p.name = STR("d1");
+	p.dc = STR("a");
+	b->now = START;
+	b->core = core_new(&p, b->now);
+	b->now += 10 * USEC_PER_SEC;
+	take_conf(b, make_conf(1, 1000, 30));
+	give_list(b, 1);
+	core_report(b->core, b->now, &r);
+	CU_ASSERT(!r.ready);
+	probe(b, 1);
+	core_report(b->core, b->now, &r);
+	CU_ASSERT(r.ready);
+	take_conf(b, make_conf(2, 900, 30));
+	core_report(b->core, b->now, &r);
+	CU_ASSERT(r.ready);
+	end(b);
+}
+
 /* Of many daemons just two of each data centre watch the platform. */
 static void test_readers(void)
 {
@@ -380,5 +407,6 @@
 	CU_add_test(s, "an old word does not count", test_old_word);
 	CU_add_test(s, "a slow server returns", test_slow_server_returns);
 	CU_add_test(s, "same revision", test_same_revision);
+	CU_add_test(s, "ready", test_ready);
 	CU_add_test(s, "readers", test_readers);
 }
