--- a/core/libcore.h
+++ b/core/libcore.h
@@ -319,7 +319,6 @@
 	peer_t *v; /* ordered by address */
 	size_t n;
 	usec_t gossip_at; /* next digest is due */
-	usec_t read_at;	  /* last change of the mode of reading */
 	read_mode_t read;
 	unsigned told;	  /* replies to digests since the start */
 	uint64_t highest; /* revision that a daemon told of */
--- a/core/peer.c
+++ b/core/peer.c
@@ -366,7 +366,6 @@
 	if (want == b->read && want != READ_ONCE)
 		return;
 	b->read = want;
-	b->read_at = now;
 	act_add(c, ACT_READ)->read = want;
 	act_log(c, &(decision_line_t){
 			   .what = DEC_READ, .why = WHY_CHOSEN, .n = want });
--- a/ctl/ctl_daemon.c
+++ b/ctl/ctl_daemon.c
@@ -15,20 +15,6 @@
 	return false;
 }
 
-static void finish(const ctl_t *c, json_t *rows, const char *const *columns)
-{
-	char *text;
-
-	if (c->json) {
-		text = json_dumps(rows, JSON_INDENT(1));
-		puts(text);
-		free(text);
-	} else {
-		ctl_table(rows, columns);
-	}
-	json_decref(rows);
-}
-
 ctl_exit_t command_status(ctl_t *c)
 {
 	static const char *const columns[] = {
@@ -57,7 +43,7 @@
 		json_object_set_new(o, "daemon", json_string(*d));
 		json_array_append_new(rows, o);
 	}
-	finish(c, rows, columns);
+	ctl_print(c, rows, columns);
 	return status;
 }
 
@@ -89,7 +75,7 @@
 		}
 		json_decref(all);
 	}
-	finish(c, rows, columns);
+	ctl_print(c, rows, columns);
 	return status;
 }
 
@@ -193,7 +179,7 @@
 			json_array_append_new(
 				rows, rates(c, c->daemons[i], before[i]));
 		if (round)
-			finish(c, rows, columns);
+			ctl_print(c, rows, columns);
 		else
 			json_decref(rows);
 		fflush(stdout);
--- a/ctl/ctl_table.c
+++ b/ctl/ctl_table.c
@@ -1,12 +1,13 @@
 /** @file ctl_table.c Tables for people. */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "libctl.h"
 
 #define MAX_COLUMNS 16
 
-char *ctl_cell(json_t *v)
+static char *cell_of(json_t *v)
 {
 	double d = json_number_value(v);
 
@@ -32,7 +33,7 @@
 		widths[j] = strlen(columns[j]);
 	json_array_foreach(rows, i, row) {
 		for (j = 0; columns[j] && j < MAX_COLUMNS; j++) {
-			char *cell = ctl_cell(json_object_get(row, columns[j]));
+			char *cell = cell_of(json_object_get(row, columns[j]));
 
 			if (strlen(cell) > widths[j])
 				widths[j] = strlen(cell);
@@ -41,7 +42,7 @@
 	}
 }
 
-void ctl_table(json_t *rows, const char *const *columns)
+static void print_table(json_t *rows, const char *const *columns)
 {
 	size_t widths[MAX_COLUMNS] = { 0 };
 	size_t i, j;
@@ -53,7 +54,7 @@
 	putchar('\n');
 	json_array_foreach(rows, i, row) {
 		for (j = 0; columns[j]; j++) {
-			char *cell = ctl_cell(json_object_get(row, columns[j]));
+			char *cell = cell_of(json_object_get(row, columns[j]));
 
 			printf("%-*s ", (int)widths[j], cell);
 			g_free(cell);
@@ -61,3 +62,17 @@
 		putchar('\n');
 	}
 }
+
+void ctl_print(const ctl_t *c, json_t *rows, const char *const *columns)
+{
+	char *text;
+
+	if (c->json) {
+		text = json_dumps(rows, JSON_INDENT(1));
+		puts(text);
+		free(text);
+	} else {
+		print_table(rows, columns);
+	}
+	json_decref(rows);
+}
--- a/ctl/ctl_trace.c
+++ b/ctl/ctl_trace.c
@@ -72,20 +72,13 @@
 					       "server", "snapshot", "n",
 					       "score",	 NULL };
 	json_t *rows = json_array();
-	char *text;
+	ctl_exit_t status;
 	int i;
 
 	for (i = 1; i < c->nargs; i++)
 		read_log(rows, c->args[i], c->args[0]);
 	sort_rows(rows);
-	if (c->json) {
-		text = json_dumps(rows, JSON_INDENT(1));
-		puts(text);
-		free(text);
-	} else {
-		ctl_table(rows, columns);
-	}
-	i = json_array_size(rows) ? CTL_OK : CTL_FAULTS;
-	json_decref(rows);
-	return (ctl_exit_t)i;
+	status = json_array_size(rows) ? CTL_OK : CTL_FAULTS;
+	ctl_print(c, rows, columns);
+	return status;
 }
--- a/ctl/libctl.h
+++ b/ctl/libctl.h
@@ -48,9 +48,7 @@
 	      const char *path);
 /** Asks for JSON; NULL with the reason printed. */
 json_t *ctl_ask_json(const ctl_t *c, const char *daemon, const char *path);
-/** A value as a cell of a table; the caller frees it. */
-char *ctl_cell(json_t *v);
-/** Prints an array of objects as a table of the named members. */
-void ctl_table(json_t *rows, const char *const *columns);
+/** Prints an array of objects, as a table of the named members or as JSON. */
+void ctl_print(const ctl_t *c, json_t *rows, const char *const *columns);
 
 #endif
--- a/daemon/libdaemon.h
+++ b/daemon/libdaemon.h
@@ -15,7 +15,6 @@
 #define MAX_BODY ((size_t)1 << 20)  /* bytes of a caller's request */
 #define MAX_REPLY ((size_t)4 << 20) /* bytes of a server's reply */
 #define MAX_REPLY_HITS 10000
-#define MAX_REPLY_DEPTH 32
 
 /** Errors of the daemon's own layer, the worst first. */
 typedef enum daemon_err {
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -32,8 +32,6 @@
 	usec_t at;     /* when it is due */
 	bool replying; /* it ran; the reply is on its way */
 	bool crossed;
-	bool hung;
-	size_t place; /* in the heap */
 } job_t;
 
 typedef struct server {
@@ -203,7 +201,6 @@
 	j->at = from + service_time(s);
 	if (s->hang_next) {
 		s->hang_next--;
-		j->hung = true;
 		j->at = now + HANG_US;
 	}
 	note(j, "run");
--- a/tests/red.sh
+++ b/tests/red.sh
@@ -7,7 +7,8 @@
 make -s -j"$(nproc)"
 copy=$(mktemp -d)
 trap 'rm -rf "$copy"' EXIT
-git ls-files -co --exclude-standard | cpio -pdm --quiet "$copy"
+git ls-files -co --exclude-standard -z | tar --null -T - -cf - |
+	tar -xf - -C "$copy"
 cp -a build "$copy/"
 passed=0
 failed=0
