Wait for a far holder's word instead of asking again each 20 ms

Cause: under the thread sanitizer one daemon of holders-two-hops never learnt what groups hold: it asked a holder, dropped the question after 20 ms, and so ignored each answer that took longer. A holder in another region is as far.

Ruled out: the holder (it answered each time, by its log).

Change: while a question is out the query waits on, up to half of its time.

--- a/core/query.c
+++ b/core/query.c
@@ -425,7 +425,11 @@
 		withdraw(c, q);
 		break;
 	case TM_REPIN:
-		query_repin(c, q, now);
+		/* A holder may be further away than one wait. */
+		if (q->nasks && now - q->arrived < q->deadline - now)
+			arm(c, q, TM_REPIN, now + REPIN_WAIT);
+		else
+			query_repin(c, q, now);
 		break;
 	case TM_FORWARD:
 		forward_timer(c, t, now);
--- a/tests/unit_core.c
+++ b/tests/unit_core.c
@@ -23,6 +23,9 @@
 	answer_t answer; /* the last; its strings are gone */
 	unsigned nanswers;
 	read_mode_t read;
+	unsigned nforwards;
+	uint64_t token;	   /* of the last forward */
+	uint64_t snapshot; /* of the last forward */
 } bench_t;
 
 static void step(bench_t *b, event_t *ev)
@@ -54,6 +57,13 @@
 		case ACT_READ:
 			b->read = a->read;
 			break;
+		case ACT_PEER:
+			if (a->peer.msg.kind != PEER_FORWARD)
+				break;
+			b->nforwards++;
+			b->token = a->peer.msg.token;
+			b->snapshot = a->peer.msg.snapshot;
+			break;
 		default:
 			break;
 		}
@@ -356,6 +366,45 @@
 	end(b);
 }
 
+/* The groups are held elsewhere, by a daemon whose word takes 100 ms. */
+static void test_far_holder(void)
+{
+	member_t d2 = { .name = STR("d2"),
+			.dc = STR("a"),
+			.peer = STR("127.0.0.2:1") };
+	host_list_t l = { .version = 9, .daemons = &d2, .ndaemons = 1 };
+	peer_part_t part = { .group = STR("g0"),
+			     .result = RES_MISS,
+			     .nheld = 1,
+			     .held = { { 1, 5 } } };
+	peer_msg_t m = { .kind = PEER_PARTS,
+			 .from = STR("d2"),
+			 .reply_to = STR("127.0.0.2:1"),
+			 .map = 1,
+			 .parts = &part,
+			 .nparts = 1 };
+	event_t list = { .kind = EV_LIST }, ev = { .kind = EV_PEER };
+	bench_t *b = begin(1000, 30);
+	conf_t *conf = make_conf(2, 1000, 30);
+
+	conf->services[0].holders = 1;
+	take_conf(b, conf);
+	list.list.list = &l;
+	list.list.at = b->now;
+	step(b, &list);
+	ask(b, "urgent");
+	CU_ASSERT_EQUAL(b->nforwards, 1);
+	CU_ASSERT_EQUAL(b->snapshot, 0);
+	pass(b, 100 * USEC_PER_MSEC);
+	CU_ASSERT_EQUAL(b->nforwards, 1);
+	m.token = b->token;
+	ev.peer.msg = &m;
+	step(b, &ev);
+	CU_ASSERT_EQUAL(b->nforwards, 2);
+	CU_ASSERT_EQUAL(b->snapshot, 5);
+	end(b);
+}
+
 /* Of many daemons just two of each data centre watch the platform. */
 static void test_readers(void)
 {
@@ -407,6 +456,7 @@
 	CU_add_test(s, "an old word does not count", test_old_word);
 	CU_add_test(s, "a slow server returns", test_slow_server_returns);
 	CU_add_test(s, "same revision", test_same_revision);
+	CU_add_test(s, "a holder far away", test_far_holder);
 	CU_add_test(s, "ready", test_ready);
 	CU_add_test(s, "readers", test_readers);
 }
