Tell the thread sanitizer where liburcu and GLib hand things over

Cause: its reports of the daemon were all of messages, configurations and loads that one thread gave another through liburcu's queue, RCU or GLib's queue, whose orders it does not see.

--- a/daemon/engine.c
+++ b/daemon/engine.c
@@ -90,6 +90,7 @@
 	uint64_t one = 1;
 	ssize_t n;
 
+	HAND_OVER(m);
 	/* Only the first of a row of messages needs to wake the engine. */
 	if (!cds_wfcq_enqueue(&e->head, &e->tail, &m->node)) {
 		n = write(e->wake, &one, sizeof(one));
@@ -117,14 +118,18 @@
 	urcu_bp_read_lock();
 }
 
-void engine_read_end(void)
+void engine_read_end(const conf_t *seen)
 {
+	HAND_OVER((void *)seen);
 	urcu_bp_read_unlock();
 }
 
 const conf_t *engine_conf(const engine_t *e)
 {
-	return rcu_dereference(e->published);
+	conf_t *conf = rcu_dereference(e->published);
+
+	TAKE_OVER(conf);
+	return conf;
 }
 
 static void add_later(engine_t *e, const event_t *ev)
@@ -180,6 +185,7 @@
 
 static void act_conf(engine_t *e, act_t *a)
 {
+	HAND_OVER(a->conf);
 	rcu_set_pointer(&e->published, a->conf);
 }
 
@@ -187,6 +193,7 @@
 {
 	(void)e;
 	urcu_bp_synchronize_rcu();
+	TAKE_OVER(a->conf);
 	conf_free(a->conf);
 }
 
@@ -320,8 +327,14 @@
 {
 	struct cds_wfcq_node *n;
 
+	msg_t *m;
+
 	n = __cds_wfcq_dequeue_blocking(&e->head, &e->tail);
-	return n ? caa_container_of(n, msg_t, node) : NULL;
+	if (!n)
+		return NULL;
+	m = caa_container_of(n, msg_t, node);
+	TAKE_OVER(m);
+	return m;
 }
 
 static void sleep_until(engine_t *e, usec_t at)
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -175,7 +175,7 @@
 	else if (class->scope == CONF_ONE && s->ngroups > 1 && k->route.sz == 0)
 		bad = BAD_ROUTE;
 out:
-	engine_read_end();
+	engine_read_end(conf);
 	return bad;
 }
 
--- a/daemon/libdaemon.h
+++ b/daemon/libdaemon.h
@@ -16,6 +16,20 @@
 #define MAX_REPLY ((size_t)4 << 20) /* bytes of a server's reply */
 #define MAX_REPLY_HITS 10000
 
+/*
+ * liburcu and GLib order memory by instructions that the thread sanitizer
+ * does not see: where they hand something to another thread it is told.
+ */
+#ifdef __SANITIZE_THREAD__
+void __tsan_acquire(void *addr);
+void __tsan_release(void *addr);
+#define HAND_OVER(p) __tsan_release(p)
+#define TAKE_OVER(p) __tsan_acquire(p)
+#else
+#define HAND_OVER(p) ((void)(p))
+#define TAKE_OVER(p) ((void)(p))
+#endif
+
 /** Errors of the daemon's own layer, the worst first. */
 typedef enum daemon_err {
 	DAEMON_OK,
@@ -125,7 +139,7 @@
 /** Published configuration; between engine_read_begin() and _end(). */
 const conf_t *engine_conf(const engine_t *e);
 void engine_read_begin(void);
-void engine_read_end(void);
+void engine_read_end(const conf_t *seen);
 /** Makes a session's connections come from this daemon's own address. */
 void engine_bind_session(const engine_t *e, void *session);
 /** Whether new requests are welcome. */
--- a/daemon/loader.c
+++ b/daemon/loader.c
@@ -93,6 +93,7 @@
 
 	while (!quit) {
 		w = g_async_queue_pop(l->queue);
+		TAKE_OVER(w);
 		quit = !w->store && !w->delta.s;
 		if (w->store)
 			take(l, w->store);
@@ -126,6 +127,7 @@
 
 	w->store = s;
 	w->delta = delta;
+	HAND_OVER(w);
 	g_async_queue_push(l->queue, w);
 }
 
