Match a failed peer message by its kind as well as its token

Cause: found by reading: when any peer message could not be queued, its token alone was looked up among keyed requests and forwards. Both count from the same start, and replies carry the other daemon's token, so an unrelated keyed request could have been answered not_run without proof.

Ruled out: the normal path; only a full or refused send leads here.

Change: the event names the kind; only a failed PEER_KEYED answers not_run and only a failed PEER_FORWARD gives groups back.

No test of its own yet: it was not seen red.

--- a/core/core.c
+++ b/core/core.c
@@ -128,8 +128,10 @@
 
 static void on_peer_failed(core_t *c, event_t *ev, usec_t now)
 {
-	key_failed(c, ev->token, now);
-	forward_failed(c, ev->token, now);
+	if (ev->failed.kind == PEER_KEYED)
+		key_failed(c, ev->failed.token, now);
+	if (ev->failed.kind == PEER_FORWARD)
+		forward_failed(c, ev->failed.token, now);
 }
 
 static void on_tick(core_t *c, event_t *ev, usec_t now)
--- a/core/core.h
+++ b/core/core.h
@@ -275,7 +275,10 @@
 			void *body; /**< of a request; back in ACT_BODY_DROP */
 			uint64_t body_hash;
 		} peer;
-		uint64_t token;
+		struct {
+			peer_kind_t kind; /**< tokens differ by kind */
+			uint64_t token;
+		} failed;
 	};
 } event_t;
 
--- a/daemon/engine.c
+++ b/daemon/engine.c
@@ -217,7 +217,8 @@
 		m->text = str_of(delta);
 	}
 	if (!peers_send(e->peers, a->peer.to, m, clock_now())) {
-		ev.token = m->token;
+		ev.failed.kind = m->kind;
+		ev.failed.token = m->token;
 		add_later(e, &ev);
 	}
 	free(delta);
