--- a/Makefile
+++ b/Makefile
@@ -6,17 +6,21 @@
 SAN ?=
 OPT ?= -O2 -g
 
-PKGS = glib-2.0 libmicrohttpd neon jansson liburcu-bp libxxhash libzmq msgpack
+PKGS = glib-2.0 libmicrohttpd neon jansson liburcu-bp libxxhash libzmq msgpack \
+	libevent
 CFLAGS_ALL = -std=gnu11 -D_GNU_SOURCE $(OPT) -Wall -Wextra -Werror -Wshadow \
 	-Wstrict-prototypes -Wmissing-prototypes -Wformat=2 -pthread \
-	$(SAN) $(addprefix -I,base conf core wire daemon standin tests) \
+	$(SAN) $(addprefix -I,base conf core wire route daemon platform standin \
+	tests) \
 	$(shell pkg-config --cflags $(PKGS) cunit) $(CFLAGS)
-LIBS = $(SAN) $(shell pkg-config --libs $(PKGS)) -lm -pthread
+LIBS = $(SAN) $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lm -pthread
 
 BASE = $(wildcard base/*.c)
 CONF = $(wildcard conf/*.c)
 CORE = $(wildcard core/*.c)
 WIRE = $(wildcard wire/*.c)
+ROUTE = $(wildcard route/*.c)
+PLATFORM = $(wildcard platform/*.c)
 DAEMON = $(wildcard daemon/*.c)
 CTL = $(wildcard ctl/*.c)
 LAB = $(wildcard standin/lab*.c) standin/relay.c standin/http.c
@@ -35,7 +39,8 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS_ALL) -MMD -MP -c -o $@ $<
 
-$(BUILD)/geraniumslipd: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) $(DAEMON))
+$(BUILD)/geraniumslipd: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) $(ROUTE) \
+	$(DAEMON) $(PLATFORM))
 	$(CC) -o $@ $^ $(LIBS)
 
 $(BUILD)/geraniumslip: $(call obj,$(BASE) $(CONF) $(CTL))
--- a/base/base.h
+++ b/base/base.h
@@ -81,6 +81,43 @@
 /** A number from 0 up to, but not including, 1. */
 double rng_unit(rng_t *r);
 
+/** Objects found by an id that is never used again for another object. */
+typedef struct idmap {
+	struct idslot *v;
+	uint32_t n;
+	uint32_t room;
+	uint32_t free;
+	uint32_t used;
+} idmap_t;
+
+/** Adds an object and returns its id, which is never 0. */
+uint64_t idmap_add(idmap_t *m, void *p);
+/** The object of an id, or NULL when it was deleted. */
+void *idmap_get(const idmap_t *m, uint64_t id);
+/** Forgets an id; one that is not there is allowed. */
+void idmap_del(idmap_t *m, uint64_t id);
+/** The object in slot i, or NULL. */
+void *idmap_at(const idmap_t *m, uint32_t i);
+/** Frees the map, not the objects. */
+void idmap_free(idmap_t *m);
+
+/** Objects by a string. */
+typedef struct strmap {
+	struct strmap_slot *v;
+	size_t room; /**< a power of two */
+	size_t used; /**< slots that end no probe */
+	size_t n;
+} strmap_t;
+
+/** The object with that key, or NULL. */
+void *strmap_get(const strmap_t *m, str_t key);
+/** Adds; the key must be new and its bytes must last as long as the object. */
+void strmap_put(strmap_t *m, str_t key, void *p);
+/** Forgets a key; one that is not there is allowed. */
+void strmap_del(strmap_t *m, str_t key);
+/** Frees the map, not the objects. */
+void strmap_free(strmap_t *m);
+
 #define HIST_SUB_BITS 5
 #define HIST_SUB (1 << HIST_SUB_BITS)
 #define HIST_RANKS 27
--- a/core/idmap.c
+++ b/base/idmap.c
@@ -1,7 +1,7 @@
 /** @file idmap.c Objects by id; an id is never given to two objects. */
 #include <stdlib.h>
 
-#include "libcore.h"
+#include "base.h"
 
 #define SLOT_BITS 32
 #define NO_SLOT UINT32_MAX
--- a/core/strmap.c
+++ b/base/strmap.c
@@ -1,7 +1,7 @@
 /** @file strmap.c Objects by a string that they own, with open addressing. */
 #include <stdlib.h>
 
-#include "libcore.h"
+#include "base.h"
 
 #define STRMAP_MIN 64
 
--- a/core/libcore.h
+++ b/core/libcore.h
@@ -52,36 +52,6 @@
 #define HIST_DECAY_AT 2000
 #define USUAL_EVERY 16 /* counts between looks at the median */
 
-/* Objects found by an id that is never used again for another object. */
-typedef struct idmap {
-	struct idslot *v;
-	uint32_t n;
-	uint32_t room;
-	uint32_t free;
-	uint32_t used;
-} idmap_t;
-
-uint64_t idmap_add(idmap_t *m, void *p);
-void *idmap_get(const idmap_t *m, uint64_t id);
-void idmap_del(idmap_t *m, uint64_t id);
-/* The object in slot i, or NULL. */
-void *idmap_at(const idmap_t *m, uint32_t i);
-void idmap_free(idmap_t *m);
-
-/* Objects by a string. */
-typedef struct strmap {
-	struct strmap_slot *v;
-	size_t room; /* a power of two */
-	size_t used; /* slots that end no probe */
-	size_t n;
-} strmap_t;
-
-void *strmap_get(const strmap_t *m, str_t key);
-/* The key must not be there; its bytes must last as long as the object. */
-void strmap_put(strmap_t *m, str_t key, void *p);
-void strmap_del(strmap_t *m, str_t key);
-void strmap_free(strmap_t *m);
-
 typedef struct group group_t;
 
 /* A server as this daemon believes it to be. */
--- /dev/null
+++ b/daemon/edge.c
@@ -0,0 +1,327 @@
+/**
+ * @file edge.c
+ * The loop of routed requests: hands events to the decisions, carries their
+ * actions out, and takes the process through its stop.
+ */
+#include <event2/http.h>
+#include <netinet/tcp.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "libedge.h"
+
+#define KEEPALIVE_IDLE_S 1 /* a peer that is gone is noticed in about 3 s */
+#define KEEPALIVE_PROBE_S 1
+#define KEEPALIVE_PROBES 2
+#define UNSENT_TIME_MS 3000 /* the same for bytes that are not confirmed */
+#define STOP_POLL_MS 50
+/* Before the process is killed what is open is given up. */
+#define STOP_MARGIN (300 * USEC_PER_MSEC)
+
+typedef void (*act_fn_t)(edge_t *e, const rt_act_t *act);
+
+static void act_send(edge_t *e, const rt_act_t *act);
+static void act_cancel(edge_t *e, const rt_act_t *act);
+static void act_answer(edge_t *e, const rt_act_t *act);
+static void act_open(edge_t *e, const rt_act_t *act);
+static void act_close(edge_t *e, const rt_act_t *act);
+static void act_log(edge_t *e, const rt_act_t *act);
+
+static const act_fn_t act_fns[RT_ACT_MAX] = {
+	[RT_ACT_SEND] = act_send,     [RT_ACT_CANCEL] = act_cancel,
+	[RT_ACT_ANSWER] = act_answer, [RT_ACT_OPEN] = act_open,
+	[RT_ACT_CLOSE] = act_close,   [RT_ACT_LOG] = act_log,
+};
+
+/* What belongs to the run and not to the loop. */
+typedef struct run {
+	edge_t edge;
+	struct event *signals[2];
+	struct event *stop_timer;
+	struct evhttp *ready;
+	struct evhttp *metrics;
+	usec_t stop_at;
+} run_t;
+
+static void act_send(edge_t *e, const rt_act_t *act)
+{
+	links_send(e->links, act);
+}
+
+static void act_cancel(edge_t *e, const rt_act_t *act)
+{
+	links_cancel(e->links, act->aid);
+}
+
+static void act_answer(edge_t *e, const rt_act_t *act)
+{
+	(void)e;
+	caller_answer(act->answer.caller, &act->answer);
+}
+
+static void act_open(edge_t *e, const rt_act_t *act)
+{
+	links_open(e->links, act->server.server, act->server.addr,
+		   act->server.warm);
+}
+
+static void act_close(edge_t *e, const rt_act_t *act)
+{
+	links_close(e->links, act->server.server);
+}
+
+static void act_log(edge_t *e, const rt_act_t *act)
+{
+	const rt_line_t *l = &act->line;
+	char id[160], service[160], server[160];
+
+	(void)e;
+	if (!log_on(l->failure ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_DEBUG))
+		return;
+	log_json(l->failure ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_DEBUG, l->what,
+		 "\"why\":\"%s\",\"request\":%s,\"service\":%s,"
+		 "\"server\":%s,\"n\":%llu,\"us\":%lld",
+		 rt_why_name(l->why), log_quote(id, sizeof(id), l->id),
+		 log_quote(service, sizeof(service), l->service),
+		 log_quote(server, sizeof(server), l->server),
+		 (unsigned long long)l->n, (long long)l->value);
+}
+
+static void set_tick(edge_t *e)
+{
+	usec_t in = rt_next(e->rt) - clock_now();
+	struct timeval tv;
+
+	if (in < 0)
+		in = 0;
+	tv = (struct timeval){ in / USEC_PER_SEC, in % USEC_PER_SEC };
+	evtimer_add(e->tick, &tv);
+}
+
+void edge_step(edge_t *e)
+{
+	rt_act_t act;
+
+	/* An action may lead here again: the loop below goes on with it. */
+	if (e->running_acts)
+		return;
+	e->running_acts = true;
+	while (rt_next_act(e->rt, &act))
+		act_fns[act.kind](e, &act);
+	e->running_acts = false;
+	set_tick(e);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	edge_t *e = arg;
+
+	(void)fd;
+	(void)what;
+	rt_tick(e->rt, clock_now());
+	edge_step(e);
+}
+
+void edge_socket_options(int fd)
+{
+	int one = 1, idle = KEEPALIVE_IDLE_S, probe = KEEPALIVE_PROBE_S;
+	int probes = KEEPALIVE_PROBES;
+	unsigned unsent = UNSENT_TIME_MS;
+
+	/* A socket without one of these still works: no error to tell. */
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe, sizeof(probe));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unsent, sizeof(unsent));
+}
+
+int edge_socket(void)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd >= 0)
+		edge_socket_options(fd);
+	return fd;
+}
+
+static bool is_ready(const edge_t *e)
+{
+	return !e->stopping && rt_conf(e->rt) && store_listed(e->store);
+}
+
+static void on_ready(struct evhttp_request *req, void *arg)
+{
+	edge_t *e = arg;
+
+	if (is_ready(e))
+		evhttp_send_reply(req, 200, "OK", NULL);
+	else
+		evhttp_send_reply(req, 503, "Service Unavailable", NULL);
+}
+
+static void on_metrics(struct evhttp_request *req, void *arg)
+{
+	struct evbuffer *out = evbuffer_new();
+	edge_t *e = arg;
+	rt_counter_t k;
+
+	for (k = 0; k < RT_CNT_MAX; k++)
+		evbuffer_add_printf(out,
+				    "# TYPE geraniumslip_%s_total counter\n"
+				    "geraniumslip_%s_total %llu\n",
+				    rt_counter_name(k), rt_counter_name(k),
+				    (unsigned long long)rt_counter(e->rt, k));
+	evbuffer_add_printf(
+		out,
+		"# TYPE geraniumslip_open_requests gauge\n"
+		"geraniumslip_open_requests %zu\n"
+		"# TYPE geraniumslip_callers gauge\n"
+		"geraniumslip_callers %zu\n"
+		"# TYPE geraniumslip_version gauge\n"
+		"geraniumslip_version %llu\n",
+		rt_open(e->rt), callers_open(e),
+		(unsigned long long)(rt_conf(e->rt) ? rt_conf(e->rt)->version
+						    : 0));
+	evhttp_send_reply(req, 200, "OK", out);
+	evbuffer_free(out);
+}
+
+static struct evhttp *serve(edge_t *e, const char *addr, const char *path,
+			    void (*fn)(struct evhttp_request *, void *))
+{
+	struct evhttp *h = evhttp_new(e->base);
+	char host[ADDR_HOST_MAX];
+	unsigned port;
+
+	addr_split(str_of(addr), host, &port);
+	evhttp_set_cb(h, path, fn, e);
+	if (evhttp_bind_socket(h, host, (ev_uint16_t)port) == 0)
+		return h;
+	evhttp_free(h);
+	return NULL;
+}
+
+/*
+ * A planned stop: not ready at once; what still comes is taken for as long
+ * as the balancer may lag; then no new connections, and what is open ends.
+ */
+static void on_stop_timer(evutil_socket_t fd, short what, void *arg)
+{
+	run_t *r = arg;
+	edge_t *e = &r->edge;
+	const settings_t *s = e->settings;
+	usec_t since = clock_now() - r->stop_at;
+
+	(void)fd;
+	(void)what;
+	if (!e->closed && since >= s->stop_grace_ms * USEC_PER_MSEC) {
+		e->closed = true;
+		callers_close_listener(e);
+		callers_close_idle(e);
+		log_json(G_LOG_LEVEL_MESSAGE, "listener closed", "\"open\":%zu",
+			 rt_open(e->rt));
+	}
+	if (e->closed &&
+	    (callers_open(e) == 0 ||
+	     since >= s->stop_limit_ms * USEC_PER_MSEC - STOP_MARGIN))
+		event_base_loopbreak(e->base);
+}
+
+static void on_stop(evutil_socket_t sig, short what, void *arg)
+{
+	struct timeval tv = { 0, STOP_POLL_MS * 1000 };
+	run_t *r = arg;
+
+	(void)what;
+	if (r->edge.stopping)
+		return;
+	r->edge.stopping = true;
+	r->stop_at = clock_now();
+	log_json(G_LOG_LEVEL_MESSAGE, "stop", "\"signal\":%d,\"open\":%zu",
+		 (int)sig, rt_open(r->edge.rt));
+	evtimer_add(r->stop_timer, &tv);
+}
+
+static void set_params(const settings_t *s, rt_params_t *p)
+{
+	rt_params_init(p);
+	p->dc = str_of(s->dc);
+	p->seed = s->seed ? s->seed
+			  : str_hash(str_of(s->name), (uint64_t)clock_now());
+	if (s->policy)
+		p->policy = rt_policy_by_name(str_of(s->policy));
+	p->fleet = s->fleet;
+	p->extra_share = s->extra_share;
+	p->extra_fixed = s->extra_fixed;
+	p->extra_window = (usec_t)(s->extra_window_s * (double)USEC_PER_SEC);
+}
+
+static daemon_err_t start(run_t *r, const settings_t *s)
+{
+	edge_t *e = &r->edge;
+	rt_params_t p;
+
+	e->settings = s;
+	e->outside = outside_by_name(s->outside);
+	e->base = event_base_new();
+	set_params(s, &p);
+	e->rt = rt_new(&p, clock_now());
+	e->links = links_new(e);
+	e->tick = evtimer_new(e->base, on_tick, e);
+	r->stop_timer = event_new(e->base, -1, EV_PERSIST, on_stop_timer, r);
+	r->signals[0] = evsignal_new(e->base, SIGTERM, on_stop, r);
+	r->signals[1] = evsignal_new(e->base, SIGINT, on_stop, r);
+	evsignal_add(r->signals[0], NULL);
+	evsignal_add(r->signals[1], NULL);
+	r->ready = serve(e, s->ready, e->outside->ready_path, on_ready);
+	r->metrics = serve(e, s->admin, "/metrics", on_metrics);
+	if (!r->ready || !r->metrics || !callers_start(e, s->listen))
+		return DAEMON_E_LISTEN;
+	e->store = store_start(e, s->registry);
+	edge_step(e);
+	return DAEMON_OK;
+}
+
+static void finish(run_t *r)
+{
+	edge_t *e = &r->edge;
+	size_t i;
+
+	callers_free(e);
+	store_free(e->store);
+	links_free(e->links);
+	rt_free(e->rt);
+	if (r->ready)
+		evhttp_free(r->ready);
+	if (r->metrics)
+		evhttp_free(r->metrics);
+	for (i = 0; i < 2; i++)
+		event_free(r->signals[i]);
+	event_free(r->stop_timer);
+	event_free(e->tick);
+	event_base_free(e->base);
+}
+
+daemon_err_t edge_run(const settings_t *s)
+{
+	run_t *r = xcalloc(1, sizeof(*r));
+	daemon_err_t err;
+
+	signal(SIGPIPE, SIG_IGN);
+	err = start(r, s);
+	if (err == DAEMON_OK) {
+		log_json(G_LOG_LEVEL_MESSAGE, "start",
+			 "\"name\":\"%s\",\"listen\":\"%s\"", s->name,
+			 s->listen);
+		event_base_dispatch(r->edge.base);
+		log_json(G_LOG_LEVEL_MESSAGE, "end", "\"open\":%zu",
+			 rt_open(r->edge.rt));
+	}
+	finish(r);
+	free(r);
+	return err;
+}
--- /dev/null
+++ b/daemon/edge_store.c
@@ -0,0 +1,354 @@
+/**
+ * @file edge_store.c
+ * Reads published state: a whole list once, then what changes. Answers that
+ * come late or from a stale source never take back what is known: each key
+ * has the revision of its last change.
+ */
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "libedge.h"
+
+#define WATCH_TIME (20 * USEC_PER_SEC)	 /* a watch waits so long for news */
+#define CALL_TIME (1500 * USEC_PER_MSEC) /* beyond what the call may wait */
+/* Between two watches: what changes meanwhile comes in one answer. */
+#define GATHER_TIME (300 * USEC_PER_MSEC)
+#define BACKOFF_MIN (150 * USEC_PER_MSEC)
+#define BACKOFF_MAX (1500 * USEC_PER_MSEC)
+#define HTTP_GONE 410
+#define MAX_LIST ((size_t)16 << 20) /* bytes of one answer */
+
+struct store {
+	edge_t *e;
+	char *addr;
+	struct bufferevent *bev;
+	http_msg_t msg;
+	struct event *timer;
+	bool calling;
+	bool listing; /* the call asks for a page of the list */
+	bool listed;
+	bool up; /* the last call was answered */
+	usec_t asked_at;
+	usec_t backoff;
+	uint64_t revision;  /* what is known holds for it */
+	uint64_t list_from; /* revision of the list's first page */
+	str_t after;	    /* owned; last key of the page before */
+	GHashTable *keys;   /* text to its revision, uint64_t */
+};
+
+static void call(store_t *s);
+static void on_read(struct bufferevent *bev, void *arg);
+static void on_event(struct bufferevent *bev, short what, void *arg);
+
+static void set_timer(store_t *s, usec_t in)
+{
+	struct timeval tv = { in / USEC_PER_SEC, in % USEC_PER_SEC };
+
+	evtimer_add(s->timer, &tv);
+}
+
+static void disconnect(store_t *s)
+{
+	if (s->bev)
+		bufferevent_free(s->bev);
+	s->bev = NULL;
+}
+
+static bool connect_store(store_t *s)
+{
+	struct sockaddr_in sa = listen_address(s->addr);
+
+	s->bev = bufferevent_socket_new(s->e->base, edge_socket(),
+					BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(s->bev, on_read, NULL, on_event, s);
+	bufferevent_enable(s->bev, EV_READ | EV_WRITE);
+	return bufferevent_socket_connect(s->bev, (struct sockaddr *)&sa,
+					  sizeof(sa)) == 0;
+}
+
+/* Notes whether the store answers; asks again later if it does not. */
+static void set_up(store_t *s, bool up, const char *why, unsigned status)
+{
+	usec_t now = clock_now();
+
+	rt_registry(s->e->rt, up, now);
+	if (s->up != up)
+		log_json(G_LOG_LEVEL_MESSAGE,
+			 up ? "registry regained" : "registry lost",
+			 "\"addr\":\"%s\",\"why\":\"%s\",\"status\":%u,"
+			 "\"revision\":%llu",
+			 s->addr, why, status, (unsigned long long)s->revision);
+	s->up = up;
+}
+
+static void fail(store_t *s, const char *why, unsigned status)
+{
+	usec_t wait = s->backoff / 2;
+
+	s->calling = false;
+	disconnect(s);
+	set_up(s, false, why, status);
+	wait += (usec_t)g_random_int_range(0, (gint32)s->backoff / 2 + 1);
+	set_timer(s, wait);
+	s->backoff *= 2;
+	if (s->backoff > BACKOFF_MAX)
+		s->backoff = BACKOFF_MAX;
+}
+
+/* True if the change is newer than what is known of the key. */
+static bool is_news(store_t *s, const outside_item_t *it)
+{
+	uint64_t *known = g_hash_table_lookup(s->keys, it->key.s);
+
+	if (known && *known >= it->revision)
+		return false;
+	if (!known) {
+		known = g_new(uint64_t, 1);
+		g_hash_table_insert(s->keys, g_strndup(it->key.s, it->key.sz),
+				    known);
+	}
+	*known = it->revision;
+	return true;
+}
+
+static void log_bad(const outside_item_t *it, const char *fault)
+{
+	char key[160], text[OUTSIDE_FAULT_MAX * 2];
+
+	log_json(G_LOG_LEVEL_WARNING, "bad published item",
+		 "\"key\":%s,\"revision\":%llu,\"fault\":%s",
+		 log_quote(key, sizeof(key), it->key),
+		 (unsigned long long)it->revision,
+		 log_quote(text, sizeof(text), str_of(fault)));
+}
+
+static void take_config(store_t *s, const outside_item_t *it)
+{
+	char fault[OUTSIDE_FAULT_MAX] = "";
+	rt_conf_t *c;
+
+	/* Without a new one the last one stays in force. */
+	if (it->deleted)
+		return;
+	c = s->e->outside->read_config(it->value, fault);
+	if (c)
+		rt_adopt(s->e->rt, c, clock_now());
+	else
+		log_bad(it, fault);
+}
+
+static void take_server(store_t *s, const outside_item_t *it, str_t id,
+			arena_t *mem)
+{
+	char fault[OUTSIDE_FAULT_MAX] = "";
+	rt_entry_t entry;
+
+	if (it->deleted) {
+		rt_gone(s->e->rt, id, clock_now());
+	} else if (s->e->outside->read_server(id, it->value, &entry, mem,
+					      fault)) {
+		rt_entry(s->e->rt, &entry, clock_now());
+	} else {
+		log_bad(it, fault);
+		rt_gone(s->e->rt, id, clock_now());
+	}
+}
+
+static void take_item(store_t *s, const outside_item_t *it, arena_t *mem)
+{
+	str_t id = STR("");
+	outside_kind_t kind = s->e->outside->kind(it->key, &id);
+
+	if (kind == OUTSIDE_OTHER)
+		return;
+	if (!is_news(s, it)) {
+		if (kind == OUTSIDE_SERVER && s->listing && !it->deleted)
+			rt_listed(s->e->rt, id);
+		return;
+	}
+	if (kind == OUTSIDE_CONFIG)
+		take_config(s, it);
+	else
+		take_server(s, it, id, mem);
+}
+
+static void take_page(store_t *s, const outside_items_t *items)
+{
+	if (s->after.sz == 0)
+		s->list_from = items->revision;
+	str_free(s->after);
+	s->after = (str_t){ 0 };
+	if (items->more && items->n) {
+		s->after = str_dup(items->v[items->n - 1].key);
+		return;
+	}
+	/* Pages are read one after the other: changes since the first one
+	 * are asked for again. */
+	rt_list_end(s->e->rt, clock_now());
+	s->revision = s->list_from;
+	s->listing = false;
+	s->listed = true;
+}
+
+static void take_answer(store_t *s)
+{
+	arena_t mem = { 0 };
+	outside_items_t items;
+	str_t body = { s->msg.body->str, s->msg.body->len };
+	size_t i;
+
+	if (!s->e->outside->read_items(body, &items, &mem)) {
+		arena_free(&mem);
+		fail(s, "not an answer", s->msg.parser.status_code);
+		return;
+	}
+	set_up(s, true, "answered", s->msg.parser.status_code);
+	s->backoff = BACKOFF_MIN;
+	if (s->listing && s->after.sz == 0)
+		rt_list_begin(s->e->rt);
+	for (i = 0; i < items.n; i++)
+		take_item(s, &items.v[i], &mem);
+	if (s->listing)
+		take_page(s, &items);
+	else if (items.revision > s->revision)
+		s->revision = items.revision;
+	arena_free(&mem);
+	s->calling = false;
+	if (s->listing || !s->listed)
+		call(s);
+	else
+		set_timer(s, GATHER_TIME);
+}
+
+static void start_list(store_t *s)
+{
+	str_free(s->after);
+	s->after = (str_t){ 0 };
+	s->listing = true;
+}
+
+static void on_read(struct bufferevent *bev, void *arg)
+{
+	store_t *s = arg;
+	edge_t *e = s->e;
+	unsigned status;
+
+	if (!s->calling) {
+		disconnect(s); /* nothing was asked */
+		return;
+	}
+	if (!http_msg_feed(&s->msg, bufferevent_get_input(bev))) {
+		fail(s, "not an answer", 0);
+		edge_step(e);
+		return;
+	}
+	if (!s->msg.done)
+		return;
+	evtimer_del(s->timer);
+	status = s->msg.parser.status_code;
+	if (!s->msg.keep)
+		disconnect(s);
+	if (status == 200) {
+		take_answer(s);
+	} else if (status == HTTP_GONE && !s->listing) {
+		log_json(G_LOG_LEVEL_MESSAGE, "registry history lost",
+			 "\"revision\":%llu", (unsigned long long)s->revision);
+		s->calling = false;
+		start_list(s);
+		call(s);
+	} else {
+		fail(s, "refused", status);
+	}
+	edge_step(e);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *arg)
+{
+	store_t *s = arg;
+	edge_t *e = s->e;
+
+	(void)bev;
+	if (what & BEV_EVENT_CONNECTED)
+		return;
+	if (s->calling)
+		fail(s, what & BEV_EVENT_EOF ? "closed" : "connection", 0);
+	else
+		disconnect(s);
+	edge_step(e);
+}
+
+static void call(store_t *s)
+{
+	char path[OUTSIDE_PATH_MAX];
+	usec_t wait = 0;
+
+	if (!s->bev && !connect_store(s)) {
+		fail(s, "connect", 0);
+		return;
+	}
+	if (s->listing) {
+		/* The first list may be old: the watch brings the rest. */
+		s->e->outside->list_path(path, s->after, !s->listed);
+	} else {
+		wait = WATCH_TIME;
+		s->e->outside->watch_path(path, s->revision, wait);
+	}
+	http_msg_reset(&s->msg, HTTP_RESPONSE);
+	s->msg.body_limit = MAX_LIST;
+	s->calling = true;
+	s->asked_at = clock_now();
+	evbuffer_add_printf(bufferevent_get_output(s->bev),
+			    "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path,
+			    s->addr);
+	set_timer(s, wait + CALL_TIME);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	store_t *s = arg;
+
+	(void)fd;
+	(void)what;
+	if (s->calling)
+		fail(s, "no answer in time", 0);
+	else
+		call(s);
+	edge_step(s->e);
+}
+
+store_t *store_start(edge_t *e, const char *addr)
+{
+	store_t *s = xcalloc(1, sizeof(*s));
+
+	s->e = e;
+	s->addr = strdup(addr);
+	s->backoff = BACKOFF_MIN;
+	s->timer = evtimer_new(e->base, on_timer, s);
+	s->keys =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	http_msg_init(&s->msg, HTTP_RESPONSE);
+	s->up = true;
+	start_list(s);
+	call(s);
+	return s;
+}
+
+bool store_listed(const store_t *s)
+{
+	return s->listed;
+}
+
+void store_free(store_t *s)
+{
+	if (!s)
+		return;
+	disconnect(s);
+	event_free(s->timer);
+	http_msg_clear(&s->msg);
+	g_hash_table_destroy(s->keys);
+	str_free(s->after);
+	free(s->addr);
+	free(s);
+}
--- a/daemon/geraniumslipd.c
+++ b/daemon/geraniumslipd.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <unistd.h>
 
-#include "libdaemon.h"
+#include "libedge.h"
 
 static const char *const errors[DAEMON_E_MAX] = {
 	[DAEMON_OK] = "no error",
@@ -49,7 +49,12 @@
 	err = settings_read(file, &s);
 	if (err != DAEMON_OK)
 		goto out;
-	log_start(STDERR_FILENO, s.log_level);
+	log_start(STDOUT_FILENO, s.log_level);
+	if (s.outside) {
+		err = edge_run(&s);
+		log_stop();
+		goto out;
+	}
 	engine = engine_new(&s);
 	catch_signals();
 	err = engine_run(engine);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -6,8 +6,9 @@
 #include <string.h>
 
 #include "libdaemon.h"
+#include "outside.h"
 
-typedef enum kind { K_STRING, K_ADDR, K_ADDRS, K_NUMBER, K_MAX } kind_t;
+typedef enum kind { K_STRING, K_ADDR, K_ADDRS, K_NUMBER, K_REAL, K_MAX } kind_t;
 
 typedef struct field {
 	const char *key;
@@ -26,9 +27,9 @@
 	{ "admin", K_ADDR, AT(admin), true, 0 },
 	{ "peer", K_ADDR, AT(peer), true, 0 },
 	{ "peer_advertise", K_ADDR, AT(peer_advertise), false, 0 },
-	{ "platform", K_ADDRS, AT(platform), true, 0 },
+	{ "platform", K_ADDRS, AT(platform), false, 0 },
 	{ "seeds", K_ADDRS, AT(seeds), false, 0 },
-	{ "admin_token", K_STRING, AT(admin_token), true, 0 },
+	{ "admin_token", K_STRING, AT(admin_token), false, 0 },
 	{ "peer_secret_key", K_STRING, AT(peer_secret), false, 0 },
 	{ "peer_public_key", K_STRING, AT(peer_public), false, 0 },
 	{ "policy", K_STRING, AT(policy), false, 0 },
@@ -39,6 +40,13 @@
 	{ "hedge_budget_percent", K_NUMBER, AT(hedge_budget), false, 100 },
 	{ "retry_budget_percent", K_NUMBER, AT(retry_budget), false, 100 },
 	{ "seed", K_NUMBER, AT(seed), false, UINT32_MAX },
+	{ "outside", K_STRING, AT(outside), false, 0 },
+	{ "registry", K_ADDR, AT(registry), false, 0 },
+	{ "ready", K_ADDR, AT(ready), false, 0 },
+	{ "fleet", K_NUMBER, AT(fleet), false, 100000 },
+	{ "extra_fixed", K_NUMBER, AT(extra_fixed), false, 1000000 },
+	{ "extra_share", K_REAL, AT(extra_share), false, 10 },
+	{ "extra_window_s", K_REAL, AT(extra_window_s), false, 3600 },
 };
 
 #define NFIELDS (sizeof(fields) / sizeof(fields[0]))
@@ -49,12 +57,11 @@
 static bool read_addr(const field_t *f, json_t *v, void *to);
 static bool read_addrs(const field_t *f, json_t *v, void *to);
 static bool read_number(const field_t *f, json_t *v, void *to);
+static bool read_real(const field_t *f, json_t *v, void *to);
 
 static const reader_t readers[K_MAX] = {
-	[K_STRING] = read_string,
-	[K_ADDR] = read_addr,
-	[K_ADDRS] = read_addrs,
-	[K_NUMBER] = read_number,
+	[K_STRING] = read_string, [K_ADDR] = read_addr, [K_ADDRS] = read_addrs,
+	[K_NUMBER] = read_number, [K_REAL] = read_real,
 };
 
 static bool is_addr(json_t *v)
@@ -109,6 +116,16 @@
 	return true;
 }
 
+static bool read_real(const field_t *f, json_t *v, void *to)
+{
+	double n = json_number_value(v);
+
+	if (!json_is_number(v) || !(n >= 0) || n > f->max)
+		return false;
+	*(double *)to = n;
+	return true;
+}
+
 /* Prints the fault with its place and value. */
 static void complain(const char *file, const char *key, const char *what,
 		     json_t *v)
@@ -162,10 +179,33 @@
 	return faults;
 }
 
-static unsigned check_relations(const char *file, const settings_t *s)
+/* Members that only one of the two ways of running needs. */
+static unsigned check_mode(const char *file, const settings_t *s)
 {
 	unsigned faults = 0;
 
+	if (s->outside && !outside_by_name(s->outside)) {
+		fprintf(stderr, "%s: /outside: no such way of speaking: %s\n",
+			file, s->outside);
+		faults++;
+	}
+	if (s->outside && (!s->registry || !s->ready)) {
+		complain(file, s->registry ? "ready" : "registry",
+			 "missing, needed with /outside", NULL);
+		faults++;
+	}
+	if (!s->outside && (!s->platform || !s->admin_token)) {
+		complain(file, s->platform ? "admin_token" : "platform",
+			 "missing", NULL);
+		faults++;
+	}
+	return faults;
+}
+
+static unsigned check_relations(const char *file, const settings_t *s)
+{
+	unsigned faults = check_mode(file, s);
+
 	if (s->policy && policy_by_name(str_of(s->policy)) == POLICY_MAX) {
 		fprintf(stderr, "%s: /policy: no such policy: %s\n", file,
 			s->policy);
@@ -190,7 +230,11 @@
 			   .stop_limit_ms = 30000,
 			   .hedge_percentile = UINT32_MAX,
 			   .hedge_budget = UINT32_MAX,
-			   .retry_budget = UINT32_MAX };
+			   .retry_budget = UINT32_MAX,
+			   .fleet = 12,
+			   .extra_fixed = 10,
+			   .extra_share = 0.1,
+			   .extra_window_s = 10 };
 	root = json_load_file(file, JSON_REJECT_DUPLICATES, &err);
 	if (!root) {
 		fprintf(stderr, "%s: line %d: %s\n", file, err.line, err.text);
@@ -226,7 +270,7 @@
 
 		if (fields[i].kind == K_ADDRS)
 			free_list(*(char ***)at);
-		else if (fields[i].kind != K_NUMBER)
+		else if (fields[i].kind < K_NUMBER)
 			free(*(char **)at);
 	}
 }
--- /dev/null
+++ b/route/route.h
@@ -0,0 +1,343 @@
+/**
+ * @file route.h
+ * Decisions about routed requests: which route a request takes, which server
+ * of which service gets it, when another send is worth its cost, what waits
+ * and what is refused, and what the caller is told.
+ *
+ * Nothing here reads a clock, opens a socket or starts a thread. Each call
+ * takes the present time; what is to be done is fetched with rt_next_act().
+ */
+#ifndef ROUTE_H
+#define ROUTE_H
+
+#include "base.h"
+
+/** A service that a route may use, with its share of the requests. */
+typedef struct rt_target {
+	size_t service; /**< place in rt_conf_t.services */
+	unsigned weight;
+} rt_target_t;
+
+/** What a route does with its targets. */
+typedef enum rt_mode {
+	RT_ONE,	  /**< one service answers, chosen by weight */
+	RT_SHARDS /**< every service answers with a part; parts are merged */
+} rt_mode_t;
+
+/** A rule that says where requests go. */
+typedef struct rt_route {
+	str_t name;
+	str_t host;   /**< lower case, without a port */
+	str_t prefix; /**< begins and ends with a slash */
+	rt_mode_t mode;
+	bool idempotent;
+	usec_t timeout;	   /**< longest time to the final answer */
+	usec_t objective;  /**< time within which an answer has full value */
+	unsigned attempts; /**< most servers per request and shard */
+	unsigned priority; /**< 0 is the most urgent */
+	rt_target_t *targets;
+	size_t ntargets;
+	size_t top;	     /**< records kept when merging */
+	size_t record_bytes; /**< size of one record */
+	double least;	     /**< least share of shards in an answer, 0 to 1 */
+} rt_route_t;
+
+/** A service: servers that answer equally well. */
+typedef struct rt_service {
+	str_t name;
+	unsigned connections; /**< that one server takes from all hosts */
+} rt_service_t;
+
+/** What a caller may send, and how long it may take. */
+typedef struct rt_limits {
+	size_t header_bytes;
+	size_t body_bytes;
+	usec_t header_time; /**< for the whole head of a request */
+	usec_t idle_time;   /**< between requests on one connection */
+} rt_limits_t;
+
+/** One version of the routes; not changed once it is in force. */
+typedef struct rt_conf {
+	arena_t mem;
+	unsigned refs;
+	uint64_t version;
+	rt_route_t *routes;
+	size_t nroutes;
+	rt_service_t *services;
+	size_t nservices;
+	rt_limits_t limits;
+} rt_conf_t;
+
+/** An empty configuration with one reference. */
+rt_conf_t *rt_conf_new(void);
+/** Adds a reference. */
+rt_conf_t *rt_conf_ref(rt_conf_t *c);
+/** Drops a reference; the last one frees. NULL is allowed. */
+void rt_conf_unref(rt_conf_t *c);
+/**
+ * Checks what the parts say of each other. Returns NULL, or the fault as a
+ * text that lives as long as the configuration.
+ */
+const char *rt_conf_check(rt_conf_t *c);
+/** The route of a host and a path (with or without query), or NULL. */
+const rt_route_t *rt_conf_route(const rt_conf_t *c, str_t host, str_t path);
+/** The place of a service by name; c->nservices if there is none. */
+size_t rt_conf_service(const rt_conf_t *c, str_t name);
+
+/** A server as the registry publishes it. */
+typedef struct rt_entry {
+	str_t id; /**< of one server; told to it with each request */
+	str_t service;
+	str_t addr; /**< IP:PORT */
+	str_t dc;
+	unsigned slots;	      /**< requests that it works on at once */
+	bool draining;	      /**< it takes no new work */
+	usec_t warm_left;     /**< how much longer it is slow after its start */
+	uint64_t incarnation; /**< of the process behind the id, 0: not told */
+} rt_entry_t;
+
+/** What became of one send to a server. */
+typedef enum rt_result {
+	RT_ANSWERED, /**< a whole successful answer to this request */
+	RT_FAILED,   /**< a whole answer that tells of a failure; it ran */
+	RT_NOT_RUN,  /**< the server says that it did not run the request */
+	RT_MOVED,    /**< another server has that address; it did not run it */
+	RT_NOT_SENT, /**< no byte of it was sent */
+	RT_LOST,     /**< sent, and no whole answer came */
+	RT_RESULT_MAX,
+} rt_result_t;
+
+/** A server's answer; the caller of rt_ended() hands over one reference. */
+typedef struct rt_reply {
+	unsigned refs;
+	unsigned status;
+	str_t stamp; /**< proof of which server ran what; may be empty */
+	str_t head;  /**< header lines for the caller, ends with CRLF */
+	str_t body;  /**< owned */
+	void *mem;   /**< behind stamp and head; freed with free() */
+} rt_reply_t;
+
+/** Adds a reference. */
+rt_reply_t *rt_reply_ref(rt_reply_t *r);
+/** Drops a reference; NULL is allowed. */
+void rt_reply_unref(rt_reply_t *r);
+
+/** Why something was decided. */
+typedef enum rt_why {
+	RT_WHY_NONE,
+	RT_WHY_FIRST,	  /**< first send of a request or shard */
+	RT_WHY_RETRY,	  /**< after a failed send */
+	RT_WHY_HEDGE,	  /**< the first send is late */
+	RT_WHY_PROBE,	  /**< to learn whether a server is well again */
+	RT_WHY_NO_CONFIG, /**< no configuration is known yet */
+	RT_WHY_NO_ROUTE,  /**< no route has that host and path */
+	RT_WHY_NO_SERVER, /**< no server of a service may be used */
+	RT_WHY_OVERLOAD,  /**< what waits already takes the time there is */
+	RT_WHY_DEADLINE,  /**< the time is over */
+	RT_WHY_OBJECTIVE, /**< answered with what there is, in time */
+	RT_WHY_COVERAGE,  /**< too few shards can still answer */
+	RT_WHY_ATTEMPTS,  /**< the route allows no further send */
+	RT_WHY_BUDGET,	  /**< further sends would load the service too much */
+	RT_WHY_COMPLETE,
+	RT_WHY_LEFT,	/**< the caller closed its connection */
+	RT_WHY_NOT_RUN, /**< servers refused it */
+	RT_WHY_LOST,	/**< no whole answer came */
+	RT_WHY_FAILED,	/**< the server ran it and failed */
+	RT_WHY_SLOW,	/**< a server answers late */
+	RT_WHY_DRAINING,
+	RT_WHY_GONE,
+	RT_WHY_NEW,
+	RT_WHY_MOVED,
+	RT_WHY_WELL,   /**< a suspect server answered again */
+	RT_WHY_LAPSED, /**< it left the registry while that was away */
+	RT_WHY_MAX,
+} rt_why_t;
+
+/** The text of a reason, for logs and answers. */
+const char *rt_why_name(rt_why_t w);
+/** The text of a result. */
+const char *rt_result_name(rt_result_t r);
+
+/** What a caller is told. */
+typedef enum rt_outcome {
+	RT_OUT_PASS,	/**< one server's answer, unchanged */
+	RT_OUT_MERGED,	/**< records of the parts */
+	RT_OUT_NOT_RUN, /**< nothing ran and nothing will */
+	RT_OUT_UNKNOWN, /**< it may have run; no usable answer came */
+	RT_OUT_TIMEOUT, /**< as unknown; the time is over */
+	RT_OUT_NO_ROUTE,
+	RT_OUT_MAX,
+} rt_outcome_t;
+
+/** The text of an outcome. */
+const char *rt_outcome_name(rt_outcome_t o);
+
+/** A caller's request; the strings are copied where they are kept. */
+typedef struct rt_request {
+	void *caller; /**< handed back with each action */
+	str_t id;     /**< as the caller named it, for logs */
+	str_t host;
+	str_t path;
+	usec_t left; /**< time that the caller waits; 0: not told */
+} rt_request_t;
+
+/** An answer to a caller. */
+typedef struct rt_answer {
+	void *caller;
+	rt_outcome_t outcome;
+	rt_why_t why;
+	rt_reply_t *reply;   /**< of RT_OUT_PASS; borrowed */
+	const str_t *stamps; /**< of RT_OUT_MERGED; of the parts in it */
+	size_t nstamps;
+	size_t missing;	    /**< shards that are not in it */
+	str_t body;	    /**< merged records, owned by the core */
+	usec_t retry_after; /**< of RT_OUT_NOT_RUN; 0: not known */
+} rt_answer_t;
+
+/** What is to be done. */
+typedef enum rt_act_kind {
+	RT_ACT_SEND,   /**< send a request to a server */
+	RT_ACT_CANCEL, /**< break a send off; no rt_ended() follows */
+	RT_ACT_ANSWER, /**< answer a caller */
+	RT_ACT_OPEN,   /**< keep connections to a server open */
+	RT_ACT_CLOSE,  /**< a server is gone: close what is idle */
+	RT_ACT_LOG,
+	RT_ACT_MAX,
+} rt_act_kind_t;
+
+/** A line of the log. */
+typedef struct rt_line {
+	const char *what;
+	rt_why_t why;
+	str_t id; /**< of the request */
+	str_t service;
+	str_t server; /**< its id */
+	uint64_t n;   /**< candidates, shards or a version; by what */
+	usec_t value; /**< expected or taken time; by what */
+	bool failure; /**< of a request that fails, or a changed belief */
+} rt_line_t;
+
+/** One action; what it points to lasts until the next rt_next_act(). */
+typedef struct rt_act {
+	rt_act_kind_t kind;
+	union {
+		struct {
+			uint64_t aid;
+			uint64_t server; /**< number of the server */
+			str_t server_id;
+			str_t addr;
+			void *caller;
+			usec_t deadline; /**< of this send */
+			bool once;	 /**< it must not run twice */
+		} send;
+		uint64_t aid;
+		rt_answer_t answer;
+		struct {
+			uint64_t server;
+			str_t addr;
+			unsigned warm; /**< connections to open early */
+		} server;
+		rt_line_t line;
+	};
+} rt_act_t;
+
+/** The state of the decisions; opaque. */
+typedef struct rt rt_t;
+
+/** How a server is chosen. */
+typedef enum rt_policy {
+	RT_POLICY_EXPECTED, /**< least expected time; the default */
+	RT_POLICY_RANDOM,
+	RT_POLICY_ROUND_ROBIN,
+	RT_POLICY_LEAST, /**< least in flight */
+	RT_POLICY_TWO,	 /**< the less loaded of two random ones */
+	RT_POLICY_MAX,
+} rt_policy_t;
+
+/** What the decisions are made with. */
+typedef struct rt_params {
+	str_t dc;
+	uint64_t seed;
+	rt_policy_t policy;
+	unsigned fleet;	      /**< hosts that share limits and budgets */
+	double extra_share;   /**< further sends per first send, all hosts */
+	unsigned extra_fixed; /**< further sends a window, all hosts */
+	usec_t extra_window;
+	usec_t caller_link; /**< allowance for the way back to a caller */
+} rt_params_t;
+
+/** Fills in the defaults that ship. */
+void rt_params_init(rt_params_t *p);
+/** Finds a policy by name; RT_POLICY_MAX if there is none. */
+rt_policy_t rt_policy_by_name(str_t name);
+
+/** Makes the state. */
+rt_t *rt_new(const rt_params_t *p, usec_t now);
+/** Frees it; open requests are dropped. */
+void rt_free(rt_t *rt);
+/** Sets how many hosts share limits and budgets. */
+void rt_fleet(rt_t *rt, unsigned hosts, usec_t now);
+/** Brings a configuration in force if its version is higher; takes it over. */
+bool rt_adopt(rt_t *rt, rt_conf_t *c, usec_t now);
+/** The configuration in force, or NULL. */
+const rt_conf_t *rt_conf(const rt_t *rt);
+/** A server is published, or its entry changed. */
+void rt_entry(rt_t *rt, const rt_entry_t *e, usec_t now);
+/** A server is not published any more. */
+void rt_gone(rt_t *rt, str_t id, usec_t now);
+/** Begins a whole list: what rt_entry() does not name until rt_list_end()
+ * is gone. */
+void rt_list_begin(rt_t *rt);
+/** The list names a server whose entry did not change. */
+void rt_listed(rt_t *rt, str_t id);
+/** Ends a whole list. */
+void rt_list_end(rt_t *rt, usec_t now);
+/** Whether the registry answers. */
+void rt_registry(rt_t *rt, bool up, usec_t now);
+
+/** A caller asks; an RT_ACT_ANSWER follows, at once or later. */
+void rt_request(rt_t *rt, const rt_request_t *r, usec_t now);
+/** The caller is gone: what runs for it is broken off, no answer follows. */
+void rt_left(rt_t *rt, void *caller, usec_t now);
+/** A send ended; takes over the reply, which may be NULL. */
+void rt_ended(rt_t *rt, uint64_t aid, rt_result_t r, rt_reply_t *reply,
+	      usec_t now);
+/** Time went by. */
+void rt_tick(rt_t *rt, usec_t now);
+/** When rt_tick() is wanted at the latest. */
+usec_t rt_next(const rt_t *rt);
+/** Requests that have no answer yet. */
+size_t rt_open(const rt_t *rt);
+/** Takes the next action; false when there is none. */
+bool rt_next_act(rt_t *rt, rt_act_t *act);
+
+/** Counters. */
+typedef enum rt_counter {
+	RT_CNT_REQUESTS,
+	RT_CNT_PASSED,
+	RT_CNT_COMPLETE,
+	RT_CNT_PARTIAL,
+	RT_CNT_REFUSED,
+	RT_CNT_UNKNOWN,
+	RT_CNT_NO_ROUTE,
+	RT_CNT_LEFT,
+	RT_CNT_FIRST,
+	RT_CNT_RETRIES,
+	RT_CNT_HEDGES,
+	RT_CNT_HEDGES_WON,
+	RT_CNT_PROBES,
+	RT_CNT_NO_BUDGET,
+	RT_CNT_WAITED,
+	RT_CNT_MAX,
+} rt_counter_t;
+
+/** The name of a counter, in the form of a metric. */
+const char *rt_counter_name(rt_counter_t k);
+/** The value of a counter. */
+uint64_t rt_counter(const rt_t *rt, rt_counter_t k);
+
+/** Writes the greatest records of the bodies, greatest first. */
+size_t rt_merge(const str_t *bodies, size_t n, size_t record, size_t top,
+		char *out);
+
+#endif
--- /dev/null
+++ b/route/rt.c
@@ -0,0 +1,183 @@
+/** @file rt.c The state of the decisions, and the calls that change it. */
+#include <stdlib.h>
+
+#include "libroute.h"
+
+#define SWEEP_PERIOD (25 * USEC_PER_MSEC) /* while sends are out */
+#define IDLE_PERIOD (500 * USEC_PER_MSEC)
+#define FLEET_DEFAULT 12 /* hosts, where nothing better is known */
+#define CALLER_LINK                                                            \
+	(14 * USEC_PER_MSEC) /* way back to a caller, and its turn */
+
+void rt_params_init(rt_params_t *p)
+{
+	*p = (rt_params_t){
+		.policy = RT_POLICY_EXPECTED,
+		.fleet = FLEET_DEFAULT,
+		.extra_share = 0.1,
+		.extra_fixed = 10,
+		.extra_window = 10 * USEC_PER_SEC,
+		.caller_link = CALLER_LINK,
+	};
+}
+
+rt_t *rt_new(const rt_params_t *p, usec_t now)
+{
+	rt_t *rt = xcalloc(1, sizeof(*rt));
+
+	rt->p = *p;
+	if (rt->p.fleet == 0)
+		rt->p.fleet = 1;
+	rt->dc = str_dup(p->dc);
+	rt->p.dc = rt->dc;
+	rt->rng.state = p->seed;
+	rt->registry_up = true;
+	rt->next_sweep = now + SWEEP_PERIOD;
+	return rt;
+}
+
+static void svcs_free(rt_t *rt)
+{
+	uint32_t i;
+
+	/* Every service has its servers freed by now. */
+	for (i = 0; i < rt->nsvcs; i++) {
+		str_free(rt->all_svcs[i]->name);
+		free(rt->all_svcs[i]->v);
+		free(rt->all_svcs[i]);
+	}
+	free(rt->all_svcs);
+	for (i = 0; i < rt->nstats; i++) {
+		str_free(rt->all_stats[i]->name);
+		free(rt->all_stats[i]);
+	}
+	free(rt->all_stats);
+}
+
+void rt_free(rt_t *rt)
+{
+	rt_query_t *q, *next;
+	uint32_t i;
+
+	if (!rt)
+		return;
+	for (q = rt->open; q; q = next) {
+		next = q->next;
+		rt_query_end(rt, q);
+	}
+	for (i = 0; i < rt->attempts.n; i++)
+		free(idmap_at(&rt->attempts, i));
+	if (rt->view)
+		rt_view_unref(rt->view);
+	rt_servers_free(rt);
+	svcs_free(rt);
+	strmap_free(&rt->svcs);
+	strmap_free(&rt->stats);
+	strmap_free(&rt->servers);
+	idmap_free(&rt->server_nums);
+	idmap_free(&rt->attempts);
+	idmap_free(&rt->queries);
+	arena_free(&rt->scratch);
+	free(rt->acts);
+	str_free(rt->dc);
+	free(rt);
+}
+
+void rt_fleet(rt_t *rt, unsigned hosts, usec_t now)
+{
+	(void)now;
+	if (hosts)
+		rt->p.fleet = hosts;
+}
+
+bool rt_adopt(rt_t *rt, rt_conf_t *c, usec_t now)
+{
+	(void)now;
+	/* What was read late or from a stale source never takes back. */
+	if (rt->view && c->version <= rt->view->conf->version) {
+		rt_conf_unref(c);
+		return false;
+	}
+	rt_log(rt, &(rt_line_t){ .what = "configuration",
+				 .why = RT_WHY_NEW,
+				 .n = c->version,
+				 .failure = true });
+	if (rt->view)
+		rt_view_unref(rt->view);
+	rt->view = rt_view_new(rt, c);
+	return true;
+}
+
+const rt_conf_t *rt_conf(const rt_t *rt)
+{
+	return rt->view ? rt->view->conf : NULL;
+}
+
+void rt_ended(rt_t *rt, uint64_t aid, rt_result_t r, rt_reply_t *reply,
+	      usec_t now)
+{
+	rt_attempt_t *a = idmap_get(&rt->attempts, aid);
+	rt_server_t *s;
+	rt_query_t *q;
+	rt_svc_t *svc;
+
+	if (!a) {
+		rt_reply_unref(reply);
+		return;
+	}
+	idmap_del(&rt->attempts, aid);
+	s = a->server;
+	svc = s->svc;
+	rt_server_ended(rt, a, r, now);
+	q = idmap_get(&rt->queries, a->query);
+	rt_log(rt, &(rt_line_t){ .what = "reply",
+				 .why = a->why,
+				 .id = q ? q->id : STR(""),
+				 .service = svc->name,
+				 .server = s->id,
+				 .n = r,
+				 .value = now - a->sent_at,
+				 .failure = r != RT_ANSWERED });
+	if (q && !q->over)
+		rt_shard_result(rt, &q->shards[a->shard], a, r, reply, now);
+	else
+		rt_reply_unref(reply);
+	free(a);
+	rt_server_release(rt, s);
+	if (svc->nwaiting)
+		rt_wait_drain(rt, svc, now);
+}
+
+void rt_tick(rt_t *rt, usec_t now)
+{
+	/* What the last actions pointed to is freed only now. */
+	rt_queries_sweep(rt);
+	rt_queries_time(rt, now);
+	if (now >= rt->next_sweep) {
+		rt_server_sweep(rt, now);
+		rt->next_sweep = now + SWEEP_PERIOD;
+	}
+}
+
+usec_t rt_next(const rt_t *rt)
+{
+	usec_t at = rt->next_sweep + IDLE_PERIOD;
+	const rt_query_t *q;
+
+	if (rt->attempts.used)
+		at = rt->next_sweep;
+	for (q = rt->open; q; q = q->next)
+		if (q->next_at < at)
+			at = q->next_at;
+	return at;
+}
+
+size_t rt_open(const rt_t *rt)
+{
+	const rt_query_t *q;
+	size_t n = 0;
+
+	for (q = rt->open; q; q = q->next)
+		n += !q->over;
+	return n;
+}
--- /dev/null
+++ b/route/rt_server.c
@@ -0,0 +1,397 @@
+/**
+ * @file rt_server.c
+ * What is believed of each server: the registry's word, how fast it answers,
+ * and whether it fails. Only this host's own sends are evidence.
+ *
+ * Load patterns: servers that pause for a moment, that turn slow, that fail
+ * a part of their requests, that start cold, that leave.
+ */
+#include <stdlib.h>
+
+#include "libroute.h"
+
+#define PACE_WEIGHT 0.2	  /* of one answer in the pace */
+#define PACE_MAX 6.0	  /* times the usual time; what is longer counts so */
+#define PACE_NEAR 1.0	  /* before the first answer */
+#define PACE_FAR 1.3	  /* the same, in another data centre */
+#define PACE_SLOW 1.8	  /* times the best: it gets probes only */
+#define FAIL_WEIGHT 0.15  /* of one send in the share of failures */
+#define FAIL_TOO_MANY 0.2 /* share of failures to be avoided */
+#define AVOID_MIN (150 * USEC_PER_MSEC)
+#define AVOID_MAX (2 * USEC_PER_SEC)
+#define PROBE_PERIOD (700 * USEC_PER_MSEC) /* of one that is only slow */
+#define LAPSE_WAIT (2 * USEC_PER_SEC)	/* to register again after an outage */
+#define LATE_GRACE (40 * USEC_PER_MSEC) /* past a send's deadline */
+/* Part of a server's connections that is used: hosts come and go. */
+#define CONNECTIONS_USED 0.95
+
+bool rt_server_usable(const rt_server_t *s)
+{
+	return !s->draining && !s->gone;
+}
+
+unsigned rt_server_cap(const rt_t *rt, const rt_server_t *s)
+{
+	double share = CONNECTIONS_USED * s->svc->connections / rt->p.fleet;
+
+	return share < 1 ? 1 : (unsigned)share;
+}
+
+void rt_server_sent(rt_server_t *s, rt_attempt_t *a)
+{
+	a->prev = NULL;
+	a->next = s->out;
+	if (a->next)
+		a->next->prev = a;
+	s->out = a;
+	s->inflight++;
+}
+
+void rt_server_late(rt_attempt_t *a)
+{
+	if (a->late)
+		return;
+	a->late = true;
+	a->server->nlate++;
+}
+
+static void unlink_attempt(rt_attempt_t *a)
+{
+	rt_server_t *s = a->server;
+
+	if (a->prev)
+		a->prev->next = a->next;
+	else
+		s->out = a->next;
+	if (a->next)
+		a->next->prev = a->prev;
+	s->inflight--;
+	if (a->late)
+		s->nlate--;
+}
+
+static void log_belief(rt_t *rt, const rt_server_t *s, rt_why_t why,
+		       usec_t value)
+{
+	rt_log(rt, &(rt_line_t){ .what = "server",
+				 .why = why,
+				 .service = s->svc->name,
+				 .server = s->id,
+				 .value = value,
+				 .failure = true });
+}
+
+static void note_pace(rt_t *rt, rt_attempt_t *a, usec_t now)
+{
+	rt_server_t *s = a->server;
+	usec_t took = now - a->sent_at;
+	double ratio = (double)took / (double)rt_stat_usual(a->stat);
+	double before = s->pace;
+
+	if (ratio > PACE_MAX)
+		ratio = PACE_MAX;
+	/* A slow one that answers a probe fast is believed sooner. */
+	if (s->pace > PACE_SLOW && ratio < s->pace)
+		s->pace = (s->pace + ratio) / 2;
+	else
+		s->pace += PACE_WEIGHT * (ratio - s->pace);
+	s->sampled_at = now;
+	rt_stat_note(a->stat, took);
+	if (before <= PACE_SLOW && s->pace > PACE_SLOW)
+		log_belief(rt, s, RT_WHY_SLOW, took);
+	if (before > PACE_SLOW && s->pace <= PACE_SLOW)
+		log_belief(rt, s, RT_WHY_WELL, took);
+}
+
+static void note_failure(rt_t *rt, rt_server_t *s, rt_result_t r, usec_t now)
+{
+	usec_t wait = AVOID_MIN;
+	unsigned i;
+
+	s->failing += FAIL_WEIGHT * (1 - s->failing);
+	for (i = 0; i < s->fail_streak && wait < AVOID_MAX; i++)
+		wait *= 2;
+	if (wait > AVOID_MAX)
+		wait = AVOID_MAX;
+	s->fail_streak++;
+	/* One lost answer alone is no reason; no connection is. */
+	if (s->fail_streak > 1 || s->failing > FAIL_TOO_MANY ||
+	    r == RT_NOT_SENT)
+		s->avoid_until = now + wait;
+	if (s->fail_streak == 1 || s->avoid_until > now)
+		log_belief(rt, s,
+			   r == RT_NOT_SENT ? RT_WHY_NO_SERVER : RT_WHY_LOST,
+			   s->avoid_until > now ? s->avoid_until - now : 0);
+}
+
+static void note_well(rt_t *rt, rt_server_t *s)
+{
+	s->failing -= FAIL_WEIGHT * s->failing;
+	if (s->fail_streak > 1)
+		log_belief(rt, s, RT_WHY_WELL, 0);
+	s->fail_streak = 0;
+}
+
+void rt_server_ended(rt_t *rt, rt_attempt_t *a, rt_result_t r, usec_t now)
+{
+	rt_server_t *s = a->server;
+
+	unlink_attempt(a);
+	switch (r) {
+	case RT_ANSWERED:
+		note_pace(rt, a, now);
+		note_well(rt, s);
+		break;
+	case RT_NOT_RUN:
+		/* It is full: as slow as the slowest, for a moment. */
+		s->pace += PACE_WEIGHT * (PACE_MAX - s->pace);
+		s->sampled_at = now;
+		break;
+	case RT_MOVED:
+		rt_server_leave(rt, s, RT_WHY_MOVED, now);
+		break;
+	default:
+		note_failure(rt, s, r, now);
+		break;
+	}
+}
+
+void rt_server_dropped(rt_t *rt, rt_attempt_t *a)
+{
+	rt_server_t *s = a->server;
+
+	unlink_attempt(a);
+	idmap_del(&rt->attempts, a->id);
+	free(a);
+	rt_server_release(rt, s);
+}
+
+bool rt_server_wants_probe(const rt_server_t *s, double best, usec_t now)
+{
+	if (s->inflight || !rt_server_usable(s) || s->lapsed_at)
+		return false;
+	if (s->fail_streak > 1 || s->failing > FAIL_TOO_MANY)
+		return now >= s->avoid_until && now - s->probed_at >= AVOID_MIN;
+	return s->pace > PACE_SLOW * best &&
+	       now - s->sampled_at >= PROBE_PERIOD;
+}
+
+void rt_server_leave(rt_t *rt, rt_server_t *s, rt_why_t why, usec_t now)
+{
+	(void)now;
+	if (why == RT_WHY_DRAINING ? s->draining : s->gone)
+		return;
+	if (why == RT_WHY_DRAINING)
+		s->draining = true;
+	else
+		s->gone = true;
+	log_belief(rt, s, why, 0);
+	if (s->gone)
+		rt_act_add(rt, RT_ACT_CLOSE)->server.server = s->num;
+}
+
+static void remove_from_service(rt_server_t *s)
+{
+	rt_svc_t *svc = s->svc;
+	size_t i;
+
+	for (i = 0; i < svc->n; i++)
+		if (svc->v[i] == s) {
+			svc->v[i] = svc->v[--svc->n];
+			return;
+		}
+}
+
+static void server_free(rt_t *rt, rt_server_t *s)
+{
+	remove_from_service(s);
+	/* Another process may have the id by now. */
+	if (strmap_get(&rt->servers, s->id) == s)
+		strmap_del(&rt->servers, s->id);
+	idmap_del(&rt->server_nums, s->num);
+	str_free(s->id);
+	str_free(s->addr);
+	str_free(s->dc);
+	free(s);
+}
+
+void rt_server_release(rt_t *rt, rt_server_t *s)
+{
+	if (s->gone && s->inflight == 0)
+		server_free(rt, s);
+}
+
+static rt_server_t *server_new(rt_t *rt, const rt_entry_t *e)
+{
+	rt_server_t *s = xcalloc(1, sizeof(*s));
+	rt_svc_t *svc = rt_svc_get(rt, e->service);
+
+	s->num = idmap_add(&rt->server_nums, s);
+	s->id = str_dup(e->id);
+	s->addr = str_dup(e->addr);
+	s->dc = str_dup(e->dc);
+	s->svc = svc;
+	s->near = str_eq(s->dc, rt->dc);
+	s->pace = s->near ? PACE_NEAR : PACE_FAR;
+	if (svc->n == svc->room) {
+		svc->room = svc->room ? svc->room * 2 : 8;
+		svc->v = xrealloc(svc->v, svc->room * sizeof(s));
+	}
+	svc->v[svc->n++] = s;
+	strmap_put(&rt->servers, s->id, s);
+	return s;
+}
+
+/* A known id with another process, address or service is another server. */
+static bool same_process(const rt_server_t *s, const rt_entry_t *e)
+{
+	return !s->gone && str_eq(s->addr, e->addr) &&
+	       str_eq(s->svc->name, e->service) &&
+	       s->incarnation == e->incarnation;
+}
+
+/* Makes room for a new server under the id; the old one runs out. */
+static void retire(rt_t *rt, rt_server_t *s, usec_t now)
+{
+	rt_server_leave(rt, s, RT_WHY_GONE, now);
+	strmap_del(&rt->servers, s->id);
+	rt_server_release(rt, s);
+}
+
+void rt_entry(rt_t *rt, const rt_entry_t *e, usec_t now)
+{
+	rt_server_t *s = strmap_get(&rt->servers, e->id);
+	rt_act_t *a;
+
+	if (s && !same_process(s, e)) {
+		retire(rt, s, now);
+		s = NULL;
+	}
+	if (!s) {
+		s = server_new(rt, e);
+		log_belief(rt, s, RT_WHY_NEW, 0);
+		s->incarnation = e->incarnation;
+		a = rt_act_add(rt, RT_ACT_OPEN);
+		a->server.server = s->num;
+		a->server.addr = arena_str(&rt->scratch, s->addr);
+		a->server.warm = e->draining ? 0 : 1;
+	}
+	s->slots = e->slots ? e->slots : 1;
+	s->warm_at = e->warm_left > 0 ? now + e->warm_left : 0;
+	s->listed = true;
+	s->lapsed_at = 0;
+	if (e->draining)
+		rt_server_leave(rt, s, RT_WHY_DRAINING, now);
+	rt_wait_drain(rt, s->svc, now);
+}
+
+/*
+ * Leases run out while the registry is away though their servers live. One
+ * that lapsed so is kept as a last choice until it had time to register.
+ */
+static bool may_be_lapse(const rt_t *rt, usec_t now)
+{
+	return rt->registry_back_at && now - rt->registry_back_at < LAPSE_WAIT;
+}
+
+void rt_gone(rt_t *rt, str_t id, usec_t now)
+{
+	rt_server_t *s = strmap_get(&rt->servers, id);
+
+	if (!s || s->gone)
+		return;
+	if (may_be_lapse(rt, now)) {
+		if (!s->lapsed_at)
+			log_belief(rt, s, RT_WHY_LAPSED, LAPSE_WAIT);
+		s->lapsed_at = rt->registry_back_at;
+		return;
+	}
+	rt_server_leave(rt, s, RT_WHY_GONE, now);
+	rt_server_release(rt, s);
+}
+
+void rt_list_begin(rt_t *rt)
+{
+	uint32_t i;
+	rt_server_t *s;
+
+	for (i = 0; i < rt->server_nums.n; i++) {
+		s = idmap_at(&rt->server_nums, i);
+		if (s)
+			s->listed = false;
+	}
+}
+
+void rt_listed(rt_t *rt, str_t id)
+{
+	rt_server_t *s = strmap_get(&rt->servers, id);
+
+	if (s)
+		s->listed = true;
+}
+
+void rt_list_end(rt_t *rt, usec_t now)
+{
+	uint32_t i;
+	rt_server_t *s;
+
+	for (i = 0; i < rt->server_nums.n; i++) {
+		s = idmap_at(&rt->server_nums, i);
+		if (s && !s->listed && !s->gone)
+			rt_gone(rt, s->id, now);
+	}
+}
+
+void rt_registry(rt_t *rt, bool up, usec_t now)
+{
+	if (up == rt->registry_up)
+		return;
+	rt->registry_up = up;
+	if (up)
+		rt->registry_back_at = now;
+	else
+		rt->registry_lost_at = now;
+}
+
+/* Sends whose time is over are lost; lapsed servers are gone in the end. */
+static void sweep_server(rt_t *rt, rt_server_t *s, usec_t now)
+{
+	rt_attempt_t *a, *next;
+
+	for (a = s->out; a; a = next) {
+		next = a->next;
+		if (now < a->deadline + LATE_GRACE)
+			continue;
+		rt_act_add(rt, RT_ACT_CANCEL)->aid = a->id;
+		rt_ended(rt, a->id, RT_LOST, NULL, now);
+		/* What follows may have been ended along with it. */
+		return;
+	}
+	if (s->lapsed_at && now - s->lapsed_at >= LAPSE_WAIT)
+		rt_server_leave(rt, s, RT_WHY_GONE, now);
+	rt_server_release(rt, s);
+}
+
+void rt_server_sweep(rt_t *rt, usec_t now)
+{
+	uint32_t i;
+	rt_server_t *s;
+
+	for (i = 0; i < rt->server_nums.n; i++) {
+		s = idmap_at(&rt->server_nums, i);
+		if (s && (s->out || s->lapsed_at || s->gone))
+			sweep_server(rt, s, now);
+	}
+}
+
+void rt_servers_free(rt_t *rt)
+{
+	uint32_t i;
+	rt_server_t *s;
+
+	for (i = 0; i < rt->server_nums.n; i++) {
+		s = idmap_at(&rt->server_nums, i);
+		if (s)
+			server_free(rt, s);
+	}
+}
--- /dev/null
+++ b/route/rt_stat.c
@@ -0,0 +1,45 @@
+/** @file rt_stat.c How long the answers of a route usually take. */
+#include "libroute.h"
+
+#define MEAN_WEIGHT 32	/* an answer counts for a 32nd of the mean */
+#define LATE_SHARE 0.92 /* of answers are faster than the late time */
+#define LATE_STEP 16	/* the quantile moves by a 16th of the mean */
+#define FIRST_USUAL (15 * USEC_PER_MSEC) /* until anything was measured */
+#define MIN_SAMPLES 20
+#define OUTLIER 6 /* means: what is longer counts as that */
+
+usec_t rt_stat_usual(const rt_stat_t *s)
+{
+	return s->n ? s->mean : FIRST_USUAL;
+}
+
+usec_t rt_stat_late(const rt_stat_t *s)
+{
+	usec_t usual = rt_stat_usual(s);
+
+	if (s->n < MIN_SAMPLES || s->late < usual * 3 / 2)
+		return usual * 2;
+	return s->late;
+}
+
+void rt_stat_note(rt_stat_t *s, usec_t took)
+{
+	usec_t step;
+
+	if (s->n == 0) {
+		s->mean = took;
+		s->late = took * 2;
+	}
+	s->n++;
+	if (took > s->mean * OUTLIER)
+		took = s->mean * OUTLIER;
+	s->mean += (took - s->mean) /
+		   (s->n < MEAN_WEIGHT ? (int64_t)s->n : MEAN_WEIGHT);
+	if (s->mean < 1)
+		s->mean = 1;
+	step = s->mean / LATE_STEP;
+	if (took > s->late)
+		s->late += (usec_t)((double)step * LATE_SHARE);
+	else
+		s->late -= (usec_t)((double)step * (1 - LATE_SHARE));
+}
--- /dev/null
+++ b/route/rt_view.c
@@ -0,0 +1,89 @@
+/** @file rt_view.c Ties a configuration to services and statistics. */
+#include <stdlib.h>
+
+#include "libroute.h"
+
+rt_svc_t *rt_svc_get(rt_t *rt, str_t name)
+{
+	rt_svc_t *s = strmap_get(&rt->svcs, name);
+
+	if (s)
+		return s;
+	s = xcalloc(1, sizeof(*s));
+	s->name = str_dup(name);
+	strmap_put(&rt->svcs, s->name, s);
+	rt->all_svcs = xrealloc(rt->all_svcs, (rt->nsvcs + 1) * sizeof(s));
+	rt->all_svcs[rt->nsvcs++] = s;
+	return s;
+}
+
+static rt_stat_t *stat_get(rt_t *rt, str_t name)
+{
+	rt_stat_t *s = strmap_get(&rt->stats, name);
+
+	if (s)
+		return s;
+	s = xcalloc(1, sizeof(*s));
+	s->name = str_dup(name);
+	strmap_put(&rt->stats, s->name, s);
+	rt->all_stats = xrealloc(rt->all_stats, (rt->nstats + 1) * sizeof(s));
+	rt->all_stats[rt->nstats++] = s;
+	return s;
+}
+
+rt_view_t *rt_view_new(rt_t *rt, rt_conf_t *c)
+{
+	rt_view_t *v = xcalloc(1, sizeof(*v));
+	size_t i;
+
+	v->conf = c;
+	v->refs = 1;
+	v->svcs = xcalloc(c->nservices, sizeof(*v->svcs));
+	v->stats = xcalloc(c->nroutes, sizeof(*v->stats));
+	v->credit = xcalloc(c->nroutes, sizeof(*v->credit));
+	for (i = 0; i < c->nservices; i++) {
+		v->svcs[i] = rt_svc_get(rt, c->services[i].name);
+		v->svcs[i]->connections = c->services[i].connections;
+	}
+	for (i = 0; i < c->nroutes; i++) {
+		v->stats[i] = stat_get(rt, c->routes[i].name);
+		if (c->routes[i].mode == RT_ONE && c->routes[i].ntargets > 1)
+			v->credit[i] = xcalloc(c->routes[i].ntargets,
+					       sizeof(*v->credit[i]));
+	}
+	return v;
+}
+
+void rt_view_unref(rt_view_t *v)
+{
+	size_t i;
+
+	if (--v->refs)
+		return;
+	for (i = 0; i < v->conf->nroutes; i++)
+		free(v->credit[i]);
+	rt_conf_unref(v->conf);
+	free(v->credit);
+	free(v->stats);
+	free(v->svcs);
+	free(v);
+}
+
+/* Each target gains its weight; the richest goes and pays for all. */
+size_t rt_view_turn(rt_view_t *v, const rt_route_t *r)
+{
+	int *credit = v->credit[r - v->conf->routes];
+	size_t best = 0, i;
+	int sum = 0;
+
+	if (!credit)
+		return 0;
+	for (i = 0; i < r->ntargets; i++) {
+		credit[i] += (int)r->targets[i].weight;
+		sum += (int)r->targets[i].weight;
+		if (credit[i] > credit[best])
+			best = i;
+	}
+	credit[best] -= sum;
+	return best;
+}
--- /dev/null
+++ b/route/rt_wait.c
@@ -0,0 +1,102 @@
+/**
+ * @file rt_wait.c
+ * Shards that wait until a server of their service has room. The more
+ * urgent go first; among equals those that can still be in time, then the
+ * one whose time ends first.
+ *
+ * Load pattern: more requests come at once than the servers take, or some
+ * of the servers are gone, so that a queue grows at this host.
+ */
+#include "libroute.h"
+
+static bool goes_before(const rt_shard_t *a, const rt_shard_t *b)
+{
+	if (a->q->route->priority != b->q->route->priority)
+		return a->q->route->priority < b->q->route->priority;
+	return a->q->soft < b->q->soft;
+}
+
+void rt_wait_push(rt_t *rt, rt_shard_t *sh)
+{
+	rt_svc_t *svc = sh->svc;
+	rt_shard_t *at = svc->tail;
+
+	while (at && goes_before(sh, at))
+		at = at->prev;
+	sh->prev = at;
+	sh->next = at ? at->next : svc->head;
+	if (sh->next)
+		sh->next->prev = sh;
+	else
+		svc->tail = sh;
+	if (at)
+		at->next = sh;
+	else
+		svc->head = sh;
+	svc->nwaiting++;
+	rt->nwaiting++;
+	rt->counters[RT_CNT_WAITED]++;
+	sh->state = RT_SH_WAITING;
+}
+
+void rt_wait_remove(rt_t *rt, rt_shard_t *sh)
+{
+	rt_svc_t *svc = sh->svc;
+
+	if (sh->prev)
+		sh->prev->next = sh->next;
+	else
+		svc->head = sh->next;
+	if (sh->next)
+		sh->next->prev = sh->prev;
+	else
+		svc->tail = sh->prev;
+	sh->prev = NULL;
+	sh->next = NULL;
+	svc->nwaiting--;
+	rt->nwaiting--;
+	sh->state = RT_SH_IDLE;
+}
+
+static bool has_room(const rt_t *rt, const rt_svc_t *svc)
+{
+	size_t i;
+
+	for (i = 0; i < svc->n; i++)
+		if (rt_server_usable(svc->v[i]) &&
+		    svc->v[i]->inflight < rt_server_cap(rt, svc->v[i]))
+			return true;
+	return false;
+}
+
+void rt_wait_drain(rt_t *rt, rt_svc_t *svc, usec_t now)
+{
+	size_t n = svc->nwaiting;
+	rt_shard_t *sh;
+
+	/* Each is looked at once: one that cannot go queues again. */
+	while (n-- && (sh = svc->head) && has_room(rt, svc)) {
+		rt_wait_remove(rt, sh);
+		rt_shard_start(rt, sh, RT_WHY_FIRST, now);
+	}
+}
+
+usec_t rt_wait_expected(const rt_t *rt, const rt_svc_t *svc,
+			const rt_query_t *q)
+{
+	const rt_shard_t *sh;
+	uint64_t ahead = 0, room = 0;
+	size_t i;
+
+	for (sh = svc->head; sh; sh = sh->next)
+		if (sh->q->route->priority <= q->route->priority)
+			ahead++;
+	if (ahead == 0)
+		return 0;
+	for (i = 0; i < svc->n; i++)
+		if (rt_server_usable(svc->v[i]))
+			room += rt_server_cap(rt, svc->v[i]);
+	if (room == 0)
+		return q->deadline - q->arrived;
+	return (usec_t)(ahead * (uint64_t)rt_stat_usual(q->stat) / room);
+}
