Keep connections to near servers only, reload settings, read the store less

SIGHUP ended the process. 3856 calls to the store: a watch each 300 ms while servers come and go. Change: connections are opened early and kept to servers of the own data centre; others close 2 s after their use. SIGHUP and a changed file reload the settings. Watches follow each other after 800 ms.

--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 
 #include "libedge.h"
 
@@ -17,6 +18,7 @@
 #define KEEPALIVE_PROBES 2
 #define UNSENT_TIME_MS 3000 /* the same for bytes that are not confirmed */
 #define STOP_POLL_MS 50
+#define SETTINGS_LOOK_S 2 /* the file may change without a signal */
 /* Before the process is killed what is open is given up. */
 #define STOP_MARGIN (300 * USEC_PER_MSEC)
 
@@ -38,8 +40,12 @@
 /* What belongs to the run and not to the loop. */
 typedef struct run {
 	edge_t edge;
-	struct event *signals[2];
+	const char *file; /* of the settings */
+	settings_t settings;
+	struct timespec read_at; /* the file's time when it was read */
+	struct event *signals[3];
 	struct event *stop_timer;
+	struct event *look;
 	struct evhttp *ready;
 	struct evhttp *metrics;
 	usec_t stop_at;
@@ -64,7 +70,7 @@
 static void act_open(edge_t *e, const rt_act_t *act)
 {
 	links_open(e->links, act->server.server, act->server.addr,
-		   act->server.warm);
+		   act->server.warm, act->server.keep);
 }
 
 static void act_close(edge_t *e, const rt_act_t *act)
@@ -260,8 +266,91 @@
 	p->extra_window = (usec_t)(s->extra_window_s * (double)USEC_PER_SEC);
 }
 
-static daemon_err_t start(run_t *r, const settings_t *s)
+static void note_file_time(run_t *r)
 {
+	struct stat st;
+
+	if (stat(r->file, &st) == 0)
+		r->read_at = st.st_mtim;
+}
+
+/*
+ * Takes new settings in force. Addresses to listen at stay until the next
+ * start; settings with a fault leave the old ones in force.
+ */
+static void reload(run_t *r, const char *why)
+{
+	edge_t *e = &r->edge;
+	settings_t s, old;
+	rt_params_t p;
+
+	note_file_time(r);
+	if (settings_read(r->file, &s) != DAEMON_OK || !s.outside) {
+		log_json(G_LOG_LEVEL_WARNING, "settings refused",
+			 "\"why\":\"%s\"", why);
+		settings_free(&s);
+		return;
+	}
+	old = r->settings;
+	r->settings = s;
+	settings_free(&old);
+	set_params(&r->settings, &p);
+	rt_set_params(e->rt, &p);
+	log_set_level(s.log_level);
+	if (!store_is_at(e->store, s.registry)) {
+		store_free(e->store);
+		e->store = store_start(e, s.registry);
+	}
+	log_json(G_LOG_LEVEL_MESSAGE, "reload", "\"why\":\"%s\"", why);
+	edge_step(e);
+}
+
+static void on_reload(evutil_socket_t sig, short what, void *arg)
+{
+	(void)sig;
+	(void)what;
+	reload(arg, "signal");
+}
+
+static void on_look(evutil_socket_t fd, short what, void *arg)
+{
+	run_t *r = arg;
+	struct stat st;
+
+	(void)fd;
+	(void)what;
+	if (stat(r->file, &st) == 0 &&
+	    (st.st_mtim.tv_sec != r->read_at.tv_sec ||
+	     st.st_mtim.tv_nsec != r->read_at.tv_nsec))
+		reload(r, "file changed");
+}
+
+static void watch_signals(run_t *r)
+{
+	static const struct {
+		int sig;
+		event_callback_fn fn;
+	} signals[] = {
+		{ SIGTERM, on_stop },
+		{ SIGINT, on_stop },
+		{ SIGHUP, on_reload },
+	};
+	struct timeval period = { SETTINGS_LOOK_S, 0 };
+	struct event_base *base = r->edge.base;
+	size_t i;
+
+	for (i = 0; i < sizeof(signals) / sizeof(signals[0]); i++) {
+		r->signals[i] =
+			evsignal_new(base, signals[i].sig, signals[i].fn, r);
+		evsignal_add(r->signals[i], NULL);
+	}
+	r->look = event_new(base, -1, EV_PERSIST, on_look, r);
+	evtimer_add(r->look, &period);
+}
+
+static daemon_err_t start(run_t *r)
+{
+	const settings_t *s = &r->settings;
 	edge_t *e = &r->edge;
 	rt_params_t p;
 
@@ -273,10 +362,7 @@
 	e->links = links_new(e);
 	e->tick = evtimer_new(e->base, on_tick, e);
 	r->stop_timer = event_new(e->base, -1, EV_PERSIST, on_stop_timer, r);
-	r->signals[0] = evsignal_new(e->base, SIGTERM, on_stop, r);
-	r->signals[1] = evsignal_new(e->base, SIGINT, on_stop, r);
-	evsignal_add(r->signals[0], NULL);
-	evsignal_add(r->signals[1], NULL);
+	watch_signals(r);
 	r->ready = serve(e, s->ready, e->outside->ready_path, on_ready);
 	r->metrics = serve(e, s->admin, "/metrics", on_metrics);
 	if (!r->ready || !r->metrics || !callers_start(e, s->listen))
@@ -299,29 +385,35 @@
 		evhttp_free(r->ready);
 	if (r->metrics)
 		evhttp_free(r->metrics);
-	for (i = 0; i < 2; i++)
+	for (i = 0; i < sizeof(r->signals) / sizeof(r->signals[0]); i++)
 		event_free(r->signals[i]);
 	event_free(r->stop_timer);
+	event_free(r->look);
 	event_free(e->tick);
 	event_base_free(e->base);
 }
 
-daemon_err_t edge_run(const settings_t *s)
+daemon_err_t edge_run(const char *file, settings_t *s)
 {
 	run_t *r = xcalloc(1, sizeof(*r));
 	daemon_err_t err;
 
+	r->file = file;
+	r->settings = *s;
+	*s = (settings_t){ 0 };
+	note_file_time(r);
 	signal(SIGPIPE, SIG_IGN);
-	err = start(r, s);
+	err = start(r);
 	if (err == DAEMON_OK) {
 		log_json(G_LOG_LEVEL_MESSAGE, "start",
-			 "\"name\":\"%s\",\"listen\":\"%s\"", s->name,
-			 s->listen);
+			 "\"name\":\"%s\",\"listen\":\"%s\"",
+			 r->settings.name, r->settings.listen);
 		event_base_dispatch(r->edge.base);
 		log_json(G_LOG_LEVEL_MESSAGE, "end", "\"open\":%zu",
 			 rt_open(r->edge.rt));
 	}
 	finish(r);
+	settings_free(&r->settings);
 	free(r);
 	return err;
 }
--- a/daemon/edge_link.c
+++ b/daemon/edge_link.c
@@ -17,6 +17,9 @@
 					   */
 /* A request that must not run twice takes a connection used since then. */
 #define FRESH (1 * USEC_PER_SEC)
+/* Connections to servers that are not kept stay open for a few requests. */
+#define SPARE_IDLE (2 * USEC_PER_SEC)
+#define IDLE_LOOK (1 * USEC_PER_SEC) /* between looks for idle ones */
 
 /** Where a connection is. */
 typedef enum link_state {
@@ -31,6 +34,7 @@
 	char addr[32];
 	GQueue idle; /* link_t, used last first */
 	unsigned n;
+	bool keep;
 	bool closed;
 } target_t;
 
@@ -52,6 +56,7 @@
 	edge_t *e;
 	GHashTable *targets; /* server to target_t */
 	GHashTable *busy;    /* attempt to link_t */
+	struct event *look;
 };
 
 static void on_read(struct bufferevent *bev, void *arg);
@@ -205,10 +210,11 @@
 		link_free(k);
 }
 
-void links_open(links_t *l, uint64_t server, str_t addr, unsigned n)
+void links_open(links_t *l, uint64_t server, str_t addr, unsigned n, bool keep)
 {
 	target_t *t = target_get(l, server, addr);
 
+	t->keep = keep;
 	while (t->n < n && link_new(l, t))
 		;
 }
@@ -411,13 +417,46 @@
 	edge_step(e);
 }
 
+/* Closes those that the server is about to close, or that are spare. */
+static void close_unused(target_t *t, usec_t now)
+{
+	usec_t limit;
+	link_t *k;
+
+	while ((k = g_queue_peek_tail(&t->idle))) {
+		limit = k->idle_time - IDLE_MARGIN;
+		if (!t->keep && limit > SPARE_IDLE)
+			limit = SPARE_IDLE;
+		if (now - k->used_at < limit)
+			return;
+		link_free(k);
+	}
+}
+
+static void on_look(evutil_socket_t fd, short what, void *arg)
+{
+	usec_t now = clock_now();
+	links_t *l = arg;
+	GHashTableIter it;
+	gpointer v;
+
+	(void)fd;
+	(void)what;
+	g_hash_table_iter_init(&it, l->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		close_unused(v, now);
+}
+
 links_t *links_new(edge_t *e)
 {
+	struct timeval period = { IDLE_LOOK / USEC_PER_SEC, 0 };
 	links_t *l = xcalloc(1, sizeof(*l));
 
 	l->e = e;
 	l->targets = g_hash_table_new(g_int64_hash, g_int64_equal);
 	l->busy = g_hash_table_new(g_int64_hash, g_int64_equal);
+	l->look = event_new(e->base, -1, EV_PERSIST, on_look, l);
+	evtimer_add(l->look, &period);
 	return l;
 }
 
@@ -426,6 +465,7 @@
 	if (!l)
 		return;
 	/* The process ends: the kernel closes what is open. */
+	event_free(l->look);
 	g_hash_table_destroy(l->targets);
 	g_hash_table_destroy(l->busy);
 	free(l);
--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -14,7 +14,7 @@
 #define WATCH_TIME (20 * USEC_PER_SEC)	 /* a watch waits so long for news */
 #define CALL_TIME (1500 * USEC_PER_MSEC) /* beyond what the call may wait */
 /* Between two watches: what changes meanwhile comes in one answer. */
-#define GATHER_TIME (300 * USEC_PER_MSEC)
+#define GATHER_TIME (800 * USEC_PER_MSEC)
 #define BACKOFF_MIN (150 * USEC_PER_MSEC)
 #define BACKOFF_MAX (1500 * USEC_PER_MSEC)
 #define HTTP_GONE 410
@@ -335,6 +335,11 @@
 	return s;
 }
 
+bool store_is_at(const store_t *s, const char *addr)
+{
+	return strcmp(s->addr, addr) == 0;
+}
+
 bool store_listed(const store_t *s)
 {
 	return s->listed;
--- a/daemon/geraniumslipd.c
+++ b/daemon/geraniumslipd.c
@@ -51,7 +51,7 @@
 		goto out;
 	log_start(STDOUT_FILENO, s.log_level);
 	if (s.outside) {
-		err = edge_run(&s);
+		err = edge_run(file, &s);
 		log_stop();
 		goto out;
 	}
--- a/daemon/libdaemon.h
+++ b/daemon/libdaemon.h
@@ -85,6 +85,8 @@
 /* log.c */
 /** Starts the writer thread; lines go to the file descriptor. */
 void log_start(int fd, const char *level);
+/** Changes the least severe level written; NULL leaves it. */
+void log_set_level(const char *level);
 /** Writes what is queued and ends the thread. */
 void log_stop(void);
 /** True if lines of that level are written. */
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -110,8 +110,12 @@
 void links_send(links_t *l, const rt_act_t *act);
 /** Breaks a send off. */
 void links_cancel(links_t *l, uint64_t aid);
-/** Opens connections to a server before they are needed. */
-void links_open(links_t *l, uint64_t server, str_t addr, unsigned n);
+/**
+ * Opens connections to a server before they are needed. Those of a server
+ * that is not kept are closed soon after their use: each server takes few,
+ * and all hosts must find room for new ones after they restart at once.
+ */
+void links_open(links_t *l, uint64_t server, str_t addr, unsigned n, bool keep);
 /** Closes what is idle; what is busy is closed when it is done. */
 void links_close(links_t *l, uint64_t server);
 void links_free(links_t *l);
@@ -119,6 +123,8 @@
 /* edge_store.c */
 /** Starts to read published state at IP:PORT. */
 store_t *store_start(edge_t *e, const char *addr);
+/** Whether it reads at that address. */
+bool store_is_at(const store_t *s, const char *addr);
 /** Whether a whole list was read. */
 bool store_listed(const store_t *s);
 void store_free(store_t *s);
@@ -141,8 +147,8 @@
 
 /** Does what the decisions ask for and sets the next tick. */
 void edge_step(edge_t *e);
-/** Runs until a planned stop is over. */
-daemon_err_t edge_run(const settings_t *s);
+/** Runs until a planned stop is over; takes over the settings. */
+daemon_err_t edge_run(const char *file, settings_t *s);
 /** Makes a socket for connections to others: no delay, dead peers noticed. */
 int edge_socket(void);
 /** Sets the same on a socket that was accepted. */
--- a/daemon/log.c
+++ b/daemon/log.c
@@ -194,13 +194,18 @@
 	return atomic_load(&state.dropped);
 }
 
-void log_start(int fd, const char *level)
+void log_set_level(const char *level)
 {
 	size_t i;
 
 	for (i = 0; level && i < NLEVELS; i++)
 		if (strcmp(level, levels[i].name) == 0)
 			state.least = levels[i].level;
+}
+
+void log_start(int fd, const char *level)
+{
+	log_set_level(level);
 	state.fd = fd;
 	state.buf = xmalloc(QUEUE_BYTES);
 	state.running =
--- a/route/route.h
+++ b/route/route.h
@@ -236,6 +236,7 @@
 			uint64_t server;
 			str_t addr;
 			unsigned warm; /**< connections to open early */
+			bool keep;     /**< keep them while they are idle */
 		} server;
 		rt_line_t line;
 	};
@@ -276,7 +277,9 @@
 /** Frees it; open requests are dropped. */
 void rt_free(rt_t *rt);
 /** Sets how many hosts share limits and budgets. */
-void rt_fleet(rt_t *rt, unsigned hosts, usec_t now);
+void rt_fleet(rt_t *rt, unsigned hosts);
+/** Changes what decisions are made with; data centre and seed stay. */
+void rt_set_params(rt_t *rt, const rt_params_t *p);
 /** Brings a configuration in force if its version is higher; takes it over. */
 bool rt_adopt(rt_t *rt, rt_conf_t *c, usec_t now);
 /** The configuration in force, or NULL. */
--- a/route/rt.c
+++ b/route/rt.c
@@ -83,13 +83,22 @@
 	free(rt);
 }
 
-void rt_fleet(rt_t *rt, unsigned hosts, usec_t now)
+void rt_fleet(rt_t *rt, unsigned hosts)
 {
-	(void)now;
 	if (hosts)
 		rt->p.fleet = hosts;
 }
 
+void rt_set_params(rt_t *rt, const rt_params_t *p)
+{
+	rt->p.policy = p->policy;
+	rt->p.extra_share = p->extra_share;
+	rt->p.extra_fixed = p->extra_fixed;
+	rt->p.extra_window = p->extra_window;
+	rt->p.caller_link = p->caller_link;
+	rt_fleet(rt, p->fleet);
+}
+
 bool rt_adopt(rt_t *rt, rt_conf_t *c, usec_t now)
 {
 	(void)now;
--- a/route/rt_server.c
+++ b/route/rt_server.c
@@ -274,7 +274,8 @@
 		a = rt_act_add(rt, RT_ACT_OPEN);
 		a->server.server = s->num;
 		a->server.addr = arena_str(&rt->scratch, s->addr);
-		a->server.warm = e->draining ? 0 : 1;
+		a->server.warm = s->near && !e->draining ? 1 : 0;
+		a->server.keep = s->near;
 	}
 	s->slots = e->slots ? e->slots : 1;
 	s->warm_at = e->warm_left > 0 ? now + e->warm_left : 0;
