Let daemons know each other and read the registry for their neighbours

A host that the store turned away had no other way to its state. Change: fleet/ (members by gossip, two readers in a data centre of six hosts or more, published state by revision, messages in msgpack over the ZeroMQ sockets that daemons had already). The fleet counts as large as it was in the last minute, so that a host that is cut off does not take all budgets.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	libevent
 CFLAGS_ALL = -std=gnu11 -D_GNU_SOURCE $(OPT) -Wall -Wextra -Werror -Wshadow \
 	-Wstrict-prototypes -Wmissing-prototypes -Wformat=2 -pthread \
-	$(SAN) $(addprefix -I,base conf core wire route daemon platform standin \
+	$(SAN) $(addprefix -I,base conf core wire route fleet daemon platform standin \
 	tests) \
 	$(shell pkg-config --cflags $(PKGS) cunit) $(CFLAGS)
 LIBS = $(SAN) $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lm -pthread
@@ -20,6 +20,7 @@
 CORE = $(wildcard core/*.c)
 WIRE = $(wildcard wire/*.c)
 ROUTE = $(wildcard route/*.c)
+FLEET = $(wildcard fleet/*.c)
 PLATFORM = $(wildcard platform/*.c)
 DAEMON = $(wildcard daemon/*.c)
 CTL = $(wildcard ctl/*.c)
@@ -39,7 +40,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS_ALL) -MMD -MP -c -o $@ $<
 
-$(BUILD)/geraniumslipd: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) $(ROUTE) \
+$(BUILD)/geraniumslipd: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) $(ROUTE) $(FLEET) \
 	$(DAEMON) $(PLATFORM))
 	$(CC) -o $@ $^ $(LIBS)
 
--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -156,7 +156,8 @@
 
 static bool is_ready(const edge_t *e)
 {
-	return !e->stopping && rt_conf(e->rt) && store_listed(e->store);
+	return !e->stopping && rt_conf(e->rt) &&
+	       fleet_state_revision(e->state) > 0;
 }
 
 static void on_ready(struct evhttp_request *req, void *arg)
@@ -250,6 +251,7 @@
 	log_json(G_LOG_LEVEL_MESSAGE, "stop", "\"signal\":%d,\"open\":%zu",
 		 (int)sig, rt_open(r->edge.rt));
 	evtimer_add(r->stop_timer, &tv);
+	fleet_peers_leave(&r->edge);
 }
 
 static void set_params(const settings_t *s, rt_params_t *p)
@@ -348,6 +350,26 @@
 	evtimer_add(r->look, &period);
 }
 
+static void start_fleet(edge_t *e)
+{
+	const settings_t *s = e->settings;
+	size_t n = s->seeds ? g_strv_length(s->seeds) : 0, i;
+	str_t *seeds = xcalloc(n, sizeof(*seeds));
+	fleet_params_t p = {
+		.addr = str_of(s->peer),
+		.dc = str_of(s->dc),
+		.seeds = seeds,
+		.nseeds = n,
+		.hosts = s->fleet,
+		.seed = str_hash(str_of(s->name), (uint64_t)clock_now()),
+	};
+
+	for (i = 0; i < n; i++)
+		seeds[i] = str_of(s->seeds[i]);
+	e->fleet = fleet_new(&p, clock_now());
+	free(seeds);
+}
+
 static daemon_err_t start(run_t *r)
 {
 	const settings_t *s = &r->settings;
@@ -360,6 +382,8 @@
 	set_params(s, &p);
 	e->rt = rt_new(&p, clock_now());
 	e->links = links_new(e);
+	e->state = edge_state_new(e);
+	start_fleet(e);
 	e->tick = evtimer_new(e->base, on_tick, e);
 	r->stop_timer = event_new(e->base, -1, EV_PERSIST, on_stop_timer, r);
 	watch_signals(r);
@@ -367,6 +391,8 @@
 	r->metrics = serve(e, s->admin, "/metrics", on_metrics);
 	if (!r->ready || !r->metrics || !callers_start(e, s->listen))
 		return DAEMON_E_LISTEN;
+	if (!fleet_peers_start(e))
+		return DAEMON_E_PEER;
 	e->store = store_start(e, s->registry);
 	edge_step(e);
 	return DAEMON_OK;
@@ -379,7 +405,10 @@
 
 	callers_free(e);
 	store_free(e->store);
+	fleet_peers_free(e);
 	links_free(e->links);
+	fleet_free(e->fleet);
+	fleet_state_free(e->state);
 	rt_free(e->rt);
 	if (r->ready)
 		evhttp_free(r->ready);
--- /dev/null
+++ b/daemon/edge_peer.c
@@ -0,0 +1,235 @@
+/**
+ * @file edge_peer.c
+ * Messages between the daemons of routed requests: greetings, and published
+ * state from who reads it to who does not, or cannot.
+ */
+#include <stdlib.h>
+
+#include "libedge.h"
+
+#define LOOK_MS 250 /* between looks at what is due */
+#define MAX_GREETED 8
+#define MAX_FOLLOWERS 256
+#define ASK_PERIOD (400 * USEC_PER_MSEC)
+#define SILENT_TIME (3 * USEC_PER_SEC) /* without the registry's word */
+
+struct fleet_peers {
+	edge_t *e;
+	peers_t *peers;
+	struct event *readable;
+	struct event *look;
+	usec_t asked_at;
+};
+
+typedef void (*msg_fn_t)(edge_t *e, const fleet_msg_t *m, usec_t now);
+
+static void on_hello(edge_t *e, const fleet_msg_t *m, usec_t now);
+static void on_welcome(edge_t *e, const fleet_msg_t *m, usec_t now);
+static void on_ask(edge_t *e, const fleet_msg_t *m, usec_t now);
+static void on_state(edge_t *e, const fleet_msg_t *m, usec_t now);
+static void on_leave(edge_t *e, const fleet_msg_t *m, usec_t now);
+
+static const msg_fn_t msg_fns[FLEET_KINDS] = {
+	[FLEET_HELLO] = on_hello, [FLEET_WELCOME] = on_welcome,
+	[FLEET_ASK] = on_ask,	  [FLEET_STATE] = on_state,
+	[FLEET_LEAVE] = on_leave,
+};
+
+static void send_msg(edge_t *e, str_t to, fleet_msg_t *m, usec_t now)
+{
+	size_t sz;
+	char *bytes;
+
+	fleet_tell(e->fleet, m, fleet_state_revision(e->state), now);
+	bytes = fleet_encode(m, &sz);
+	/* One that was not sent is made up for by the next greeting. */
+	peers_send_bytes(e->peers->peers, to, bytes, sz, now);
+	free(bytes);
+}
+
+static void on_hello(edge_t *e, const fleet_msg_t *m, usec_t now)
+{
+	fleet_msg_t reply = { .kind = FLEET_WELCOME };
+
+	send_msg(e, m->from, &reply, now);
+}
+
+static void on_welcome(edge_t *e, const fleet_msg_t *m, usec_t now)
+{
+	(void)e;
+	(void)m;
+	(void)now;
+}
+
+static void on_leave(edge_t *e, const fleet_msg_t *m, usec_t now)
+{
+	(void)e;
+	(void)m;
+	(void)now;
+}
+
+static void send_state(edge_t *e, str_t to, uint64_t since, usec_t now)
+{
+	fleet_msg_t m = { .kind = FLEET_STATE, .since = since };
+	arena_t mem = { 0 };
+
+	fleet_state_since(e->state, &m, &mem);
+	send_msg(e, to, &m, now);
+	arena_free(&mem);
+}
+
+static void on_ask(edge_t *e, const fleet_msg_t *m, usec_t now)
+{
+	if (fleet_state_revision(e->state) > m->since)
+		send_state(e, m->from, m->since, now);
+}
+
+static void on_state(edge_t *e, const fleet_msg_t *m, usec_t now)
+{
+	uint64_t known = fleet_state_revision(e->state);
+	size_t i;
+
+	/* Confirmed just now: what lapsed while it was away can be told. */
+	if (m->age >= 0 && m->age < SILENT_TIME)
+		rt_registry(e->rt, true, now);
+	if (m->whole)
+		fleet_state_list_begin(e->state);
+	for (i = 0; i < m->nitems; i++)
+		fleet_state_take(e->state, &m->items[i]);
+	if (m->whole)
+		fleet_state_list_end(e->state, m->revision);
+	else if (m->since <= known)
+		fleet_state_reached(e->state, m->revision);
+}
+
+static void receive_all(edge_t *e)
+{
+	arena_t mem = { 0 };
+	usec_t now = clock_now();
+	fleet_msg_t m;
+	size_t sz;
+	char *bytes;
+
+	while ((bytes = peers_receive_bytes(e->peers->peers, &sz))) {
+		if (fleet_decode(bytes, sz, &m, &mem)) {
+			fleet_heard(e->fleet, &m, now);
+			msg_fns[m.kind](e, &m, now);
+		} else {
+			log_json(G_LOG_LEVEL_WARNING, "peer message refused",
+				 "\"bytes\":%zu", sz);
+		}
+		free(bytes);
+		arena_free(&mem);
+	}
+}
+
+static void ask_if_behind(edge_t *e, usec_t now)
+{
+	uint64_t known = fleet_state_revision(e->state);
+	usec_t age = fleet_age(e->fleet, now);
+	bool silent = age < 0 || age > SILENT_TIME;
+	fleet_msg_t m = { .kind = FLEET_ASK, .since = known };
+	str_t to;
+
+	if (now - e->peers->asked_at < ASK_PERIOD)
+		return;
+	to = fleet_ask(e->fleet, known, silent, now);
+	if (to.sz == 0)
+		return;
+	e->peers->asked_at = now;
+	send_msg(e, to, &m, now);
+}
+
+static void greet(edge_t *e, usec_t now)
+{
+	fleet_msg_t m = { .kind = FLEET_HELLO };
+	str_t to[MAX_GREETED];
+	size_t n = fleet_greet(e->fleet, to, MAX_GREETED, now);
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		send_msg(e, to[i], &m, now);
+}
+
+static void on_look(evutil_socket_t fd, short what, void *arg)
+{
+	usec_t now = clock_now();
+	edge_t *e = arg;
+
+	(void)fd;
+	(void)what;
+	/* ZeroMQ's descriptor tells of a change once only. */
+	receive_all(e);
+	greet(e, now);
+	ask_if_behind(e, now);
+	rt_fleet(e->rt, fleet_hosts(e->fleet, now));
+	store_read(e->store, fleet_should_read(e->fleet, now));
+	edge_step(e);
+}
+
+static void on_readable(evutil_socket_t fd, short what, void *arg)
+{
+	edge_t *e = arg;
+
+	(void)fd;
+	(void)what;
+	receive_all(e);
+	edge_step(e);
+}
+
+void fleet_peers_read(edge_t *e, uint64_t before)
+{
+	usec_t now = clock_now();
+	str_t to[MAX_FOLLOWERS];
+	size_t n, i;
+
+	fleet_read(e->fleet, now);
+	if (!fleet_has_followers(e->fleet, now))
+		return;
+	n = fleet_followers(e->fleet, to, MAX_FOLLOWERS, now);
+	for (i = 0; i < n; i++)
+		send_state(e, to[i], before, now);
+}
+
+void fleet_peers_leave(edge_t *e)
+{
+	fleet_msg_t m = { .kind = FLEET_LEAVE };
+	usec_t now = clock_now();
+	str_t to[MAX_FOLLOWERS];
+	size_t n = fleet_followers(e->fleet, to, MAX_FOLLOWERS, now), i;
+
+	for (i = 0; i < n; i++)
+		send_msg(e, to[i], &m, now);
+}
+
+bool fleet_peers_start(edge_t *e)
+{
+	struct timeval period = { 0, LOOK_MS * 1000 };
+	struct fleet_peers *p = xcalloc(1, sizeof(*p));
+
+	p->e = e;
+	e->peers = p;
+	p->peers = peers_new(e->settings);
+	if (!p->peers)
+		return false;
+	p->readable = event_new(e->base, peers_fd(p->peers),
+				EV_READ | EV_PERSIST, on_readable, e);
+	event_add(p->readable, NULL);
+	p->look = event_new(e->base, -1, EV_PERSIST, on_look, e);
+	event_add(p->look, &period);
+	return true;
+}
+
+void fleet_peers_free(edge_t *e)
+{
+	struct fleet_peers *p = e->peers;
+
+	if (!p)
+		return;
+	if (p->readable)
+		event_free(p->readable);
+	if (p->look)
+		event_free(p->look);
+	peers_free(p->peers);
+	free(p);
+}
--- /dev/null
+++ b/daemon/edge_state.c
@@ -0,0 +1,64 @@
+/** @file edge_state.c Brings what is published in force, key by key. */
+#include "libedge.h"
+
+static void log_bad(const fleet_item_t *it, const char *fault)
+{
+	char key[160], text[OUTSIDE_FAULT_MAX * 2];
+
+	log_json(G_LOG_LEVEL_WARNING, "bad published item",
+		 "\"key\":%s,\"revision\":%llu,\"fault\":%s",
+		 log_quote(key, sizeof(key), it->key),
+		 (unsigned long long)it->revision,
+		 log_quote(text, sizeof(text), str_of(fault)));
+}
+
+static void take_config(edge_t *e, const fleet_item_t *it)
+{
+	char fault[OUTSIDE_FAULT_MAX] = "";
+	rt_conf_t *c;
+
+	/* Without a new one the last one stays in force. */
+	if (it->deleted)
+		return;
+	c = e->outside->read_config(it->value, fault);
+	if (c)
+		rt_adopt(e->rt, c, clock_now());
+	else
+		log_bad(it, fault);
+}
+
+static void take_server(edge_t *e, const fleet_item_t *it, str_t id,
+			arena_t *mem)
+{
+	char fault[OUTSIDE_FAULT_MAX] = "";
+	rt_entry_t entry;
+
+	if (it->deleted) {
+		rt_gone(e->rt, id, clock_now());
+	} else if (e->outside->read_server(id, it->value, &entry, mem,
+					      fault)) {
+		rt_entry(e->rt, &entry, clock_now());
+	} else {
+		log_bad(it, fault);
+		rt_gone(e->rt, id, clock_now());
+	}
+}
+
+static void on_changed(void *arg, const fleet_item_t *it)
+{
+	arena_t mem = { 0 };
+	str_t id = STR("");
+	edge_t *e = arg;
+	outside_kind_t kind = e->outside->kind(it->key, &id);
+
+	if (kind == OUTSIDE_CONFIG)
+		take_config(e, it);
+	if (kind == OUTSIDE_SERVER)
+		take_server(e, it, id, &mem);
+	arena_free(&mem);
+}
+
+fleet_state_t *edge_state_new(edge_t *e)
+{
+	return fleet_state_new(on_changed, e);
+}
--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -1,8 +1,6 @@
 /**
  * @file edge_store.c
- * Reads published state: a whole list once, then what changes. Answers that
- * come late or from a stale source never take back what is known: each key
- * has the revision of its last change.
+ * Reads published state: a whole list once, then what changes.
  */
 #include <arpa/inet.h>
 #include <stdlib.h>
@@ -12,6 +10,8 @@
 #include "libedge.h"
 
 #define WATCH_TIME (20 * USEC_PER_SEC)	 /* a watch waits so long for news */
+/* The same where others rely on it: each answer tells them that it lives. */
+#define LEAD_TIME (1 * USEC_PER_SEC)
 #define CALL_TIME (1500 * USEC_PER_MSEC) /* beyond what the call may wait */
 /* Between two watches: what changes meanwhile comes in one answer. */
 #define GATHER_TIME (800 * USEC_PER_MSEC)
@@ -27,15 +27,12 @@
 	http_msg_t msg;
 	struct event *timer;
 	bool calling;
+	bool reading; /* else a neighbour reads for this daemon */
 	bool listing; /* the call asks for a page of the list */
-	bool listed;
-	bool up; /* the last call was answered */
-	usec_t asked_at;
+	bool up;      /* the last call was answered */
 	usec_t backoff;
-	uint64_t revision;  /* what is known holds for it */
 	uint64_t list_from; /* revision of the list's first page */
 	str_t after;	    /* owned; last key of the page before */
-	GHashTable *keys;   /* text to its revision, uint64_t */
 };
 
 static void call(store_t *s);
@@ -79,7 +76,7 @@
 			 up ? "registry regained" : "registry lost",
 			 "\"addr\":\"%s\",\"why\":\"%s\",\"status\":%u,"
 			 "\"revision\":%llu",
-			 s->addr, why, status, (unsigned long long)s->revision);
+			 s->addr, why, status, (unsigned long long)fleet_state_revision(s->e->state));
 	s->up = up;
 }
 
@@ -97,87 +94,27 @@
 		s->backoff = BACKOFF_MAX;
 }
 
-/* True if the change is newer than what is known of the key. */
-static bool is_news(store_t *s, const outside_item_t *it)
+static void take_items(store_t *s, const outside_items_t *items)
 {
-	uint64_t *known = g_hash_table_lookup(s->keys, it->key.s);
-
-	if (known && *known >= it->revision)
-		return false;
-	if (!known) {
-		known = g_new(uint64_t, 1);
-		g_hash_table_insert(s->keys, g_strndup(it->key.s, it->key.sz),
-				    known);
-	}
-	*known = it->revision;
-	return true;
-}
-
-static void log_bad(const outside_item_t *it, const char *fault)
-{
-	char key[160], text[OUTSIDE_FAULT_MAX * 2];
-
-	log_json(G_LOG_LEVEL_WARNING, "bad published item",
-		 "\"key\":%s,\"revision\":%llu,\"fault\":%s",
-		 log_quote(key, sizeof(key), it->key),
-		 (unsigned long long)it->revision,
-		 log_quote(text, sizeof(text), str_of(fault)));
-}
-
-static void take_config(store_t *s, const outside_item_t *it)
-{
-	char fault[OUTSIDE_FAULT_MAX] = "";
-	rt_conf_t *c;
-
-	/* Without a new one the last one stays in force. */
-	if (it->deleted)
-		return;
-	c = s->e->outside->read_config(it->value, fault);
-	if (c)
-		rt_adopt(s->e->rt, c, clock_now());
-	else
-		log_bad(it, fault);
-}
+	size_t i;
 
-static void take_server(store_t *s, const outside_item_t *it, str_t id,
-			arena_t *mem)
-{
-	char fault[OUTSIDE_FAULT_MAX] = "";
-	rt_entry_t entry;
-
-	if (it->deleted) {
-		rt_gone(s->e->rt, id, clock_now());
-	} else if (s->e->outside->read_server(id, it->value, &entry, mem,
-					      fault)) {
-		rt_entry(s->e->rt, &entry, clock_now());
-	} else {
-		log_bad(it, fault);
-		rt_gone(s->e->rt, id, clock_now());
-	}
+	for (i = 0; i < items->n; i++)
+		fleet_state_take(s->e->state, &(fleet_item_t){
+						      items->v[i].key,
+						      items->v[i].value,
+						      items->v[i].revision,
+						      items->v[i].deleted });
 }
 
-static void take_item(store_t *s, const outside_item_t *it, arena_t *mem)
+static void take_list(store_t *s, const outside_items_t *items)
 {
-	str_t id = STR("");
-	outside_kind_t kind = s->e->outside->kind(it->key, &id);
-
-	if (kind == OUTSIDE_OTHER)
-		return;
-	if (!is_news(s, it)) {
-		if (kind == OUTSIDE_SERVER && s->listing && !it->deleted)
-			rt_listed(s->e->rt, id);
-		return;
-	}
-	if (kind == OUTSIDE_CONFIG)
-		take_config(s, it);
-	else
-		take_server(s, it, id, mem);
-}
+	fleet_state_t *state = s->e->state;
 
-static void take_page(store_t *s, const outside_items_t *items)
-{
-	if (s->after.sz == 0)
+	if (s->after.sz == 0) {
 		s->list_from = items->revision;
+		fleet_state_list_begin(state);
+	}
+	take_items(s, items);
 	str_free(s->after);
 	s->after = (str_t){ 0 };
 	if (items->more && items->n) {
@@ -186,18 +123,16 @@
 	}
 	/* Pages are read one after the other: changes since the first one
 	 * are asked for again. */
-	rt_list_end(s->e->rt, clock_now());
-	s->revision = s->list_from;
+	fleet_state_list_end(state, s->list_from);
 	s->listing = false;
-	s->listed = true;
 }
 
 static void take_answer(store_t *s)
 {
+	uint64_t before = fleet_state_revision(s->e->state);
 	arena_t mem = { 0 };
 	outside_items_t items;
 	str_t body = { s->msg.body->str, s->msg.body->len };
-	size_t i;
 
 	if (!s->e->outside->read_items(body, &items, &mem)) {
 		arena_free(&mem);
@@ -206,19 +141,20 @@
 	}
 	set_up(s, true, "answered", s->msg.parser.status_code);
 	s->backoff = BACKOFF_MIN;
-	if (s->listing && s->after.sz == 0)
-		rt_list_begin(s->e->rt);
-	for (i = 0; i < items.n; i++)
-		take_item(s, &items.v[i], &mem);
-	if (s->listing)
-		take_page(s, &items);
-	else if (items.revision > s->revision)
-		s->revision = items.revision;
+	if (s->listing) {
+		take_list(s, &items);
+	} else {
+		take_items(s, &items);
+		fleet_state_reached(s->e->state, items.revision);
+	}
 	arena_free(&mem);
 	s->calling = false;
-	if (s->listing || !s->listed)
+	if (s->listing) {
 		call(s);
-	else
+		return;
+	}
+	fleet_peers_read(s->e, before);
+	if (s->reading)
 		set_timer(s, GATHER_TIME);
 }
 
@@ -254,7 +190,7 @@
 		take_answer(s);
 	} else if (status == HTTP_GONE && !s->listing) {
 		log_json(G_LOG_LEVEL_MESSAGE, "registry history lost",
-			 "\"revision\":%llu", (unsigned long long)s->revision);
+			 "\"revision\":%llu", (unsigned long long)fleet_state_revision(s->e->state));
 		s->calling = false;
 		start_list(s);
 		call(s);
@@ -281,6 +217,7 @@
 
 static void call(store_t *s)
 {
+	uint64_t revision = fleet_state_revision(s->e->state);
 	char path[OUTSIDE_PATH_MAX];
 	usec_t wait = 0;
 
@@ -290,15 +227,16 @@
 	}
 	if (s->listing) {
 		/* The first list may be old: the watch brings the rest. */
-		s->e->outside->list_path(path, s->after, !s->listed);
+		s->e->outside->list_path(path, s->after, revision == 0);
 	} else {
-		wait = WATCH_TIME;
-		s->e->outside->watch_path(path, s->revision, wait);
+		wait = fleet_has_followers(s->e->fleet, clock_now())
+			       ? LEAD_TIME
+			       : WATCH_TIME;
+		s->e->outside->watch_path(path, revision, wait);
 	}
 	http_msg_reset(&s->msg, HTTP_RESPONSE);
 	s->msg.body_limit = MAX_LIST;
 	s->calling = true;
-	s->asked_at = clock_now();
 	evbuffer_add_printf(bufferevent_get_output(s->bev),
 			    "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path,
 			    s->addr);
@@ -313,7 +251,7 @@
 	(void)what;
 	if (s->calling)
 		fail(s, "no answer in time", 0);
-	else
+	else if (s->reading)
 		call(s);
 	edge_step(s->e);
 }
@@ -326,23 +264,31 @@
 	s->addr = strdup(addr);
 	s->backoff = BACKOFF_MIN;
 	s->timer = evtimer_new(e->base, on_timer, s);
-	s->keys =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	http_msg_init(&s->msg, HTTP_RESPONSE);
 	s->up = true;
-	start_list(s);
+	s->reading = true;
+	if (fleet_state_revision(e->state) == 0)
+		start_list(s);
 	call(s);
 	return s;
 }
 
-bool store_is_at(const store_t *s, const char *addr)
+void store_read(store_t *s, bool reading)
 {
-	return strcmp(s->addr, addr) == 0;
+	if (s->reading == reading)
+		return;
+	s->reading = reading;
+	log_json(G_LOG_LEVEL_INFO, reading ? "reads" : "follows",
+		 "\"revision\":%llu",
+		 (unsigned long long)fleet_state_revision(s->e->state));
+	/* A watch that waits is left to end by itself. */
+	if (reading && !s->calling)
+		call(s);
 }
 
-bool store_listed(const store_t *s)
+bool store_is_at(const store_t *s, const char *addr)
 {
-	return s->listed;
+	return strcmp(s->addr, addr) == 0;
 }
 
 void store_free(store_t *s)
@@ -352,7 +298,6 @@
 	disconnect(s);
 	event_free(s->timer);
 	http_msg_clear(&s->msg);
-	g_hash_table_destroy(s->keys);
 	str_free(s->after);
 	free(s->addr);
 	free(s);
--- a/daemon/libdaemon.h
+++ b/daemon/libdaemon.h
@@ -269,6 +269,13 @@
 void *peers_socket(peers_t *p);
 /** Sends; false if it certainly was not sent. */
 bool peers_send(peers_t *p, str_t to, const peer_msg_t *m, usec_t now);
+/** Sends bytes; false if they certainly were not sent. */
+bool peers_send_bytes(peers_t *p, str_t to, const char *bytes, size_t sz,
+		      usec_t now);
+/** The next message as bytes for free(); NULL if there is none now. */
+char *peers_receive_bytes(peers_t *p, size_t *sz);
+/** Readable when something may have come; all of it is to be received. */
+int peers_fd(peers_t *p);
 /** Reads the next message; false if there is none now. */
 bool peers_receive(peers_t *p, peer_msg_t *m, arena_t *mem);
 const peers_counts_t *peers_counts(const peers_t *p);
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -12,6 +12,7 @@
 #include <glib.h>
 #include <http_parser.h>
 
+#include "fleet.h"
 #include "libdaemon.h"
 #include "outside.h"
 
@@ -125,10 +126,23 @@
 store_t *store_start(edge_t *e, const char *addr);
 /** Whether it reads at that address. */
 bool store_is_at(const store_t *s, const char *addr);
-/** Whether a whole list was read. */
-bool store_listed(const store_t *s);
+/** Whether to read, or to leave that to a neighbour. */
+void store_read(store_t *s, bool reading);
 void store_free(store_t *s);
 
+/* edge_state.c */
+/** Published state that is brought in force as it changes. */
+fleet_state_t *edge_state_new(edge_t *e);
+
+/* edge_peer.c */
+/** Opens the socket for other daemons; false if that cannot be. */
+bool fleet_peers_start(edge_t *e);
+/** The registry answered: neighbours are told what changed since. */
+void fleet_peers_read(edge_t *e, uint64_t before);
+/** Tells neighbours that this daemon ends. */
+void fleet_peers_leave(edge_t *e);
+void fleet_peers_free(edge_t *e);
+
 /* edge.c */
 struct edge {
 	const settings_t *settings;
@@ -137,6 +151,9 @@
 	rt_t *rt;
 	links_t *links;
 	store_t *store;
+	fleet_t *fleet;
+	fleet_state_t *state;
+	struct fleet_peers *peers;
 	struct callers *callers;
 	struct event *tick;
 	bool running_acts;
--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -17,6 +17,8 @@
 #define RECONNECT_MAX_MS 2000
 #define HEARTBEAT_MS 1000
 #define HEARTBEAT_TIMEOUT_MS 3000
+#define KEEPALIVE_S 1
+#define KEEPALIVE_PROBES 2
 #define LINGER_MS 200
 #define MAX_LINKS 128 /* the longest unused is closed first */
 #define KEY_TEXT 40   /* bytes of a Z85 key */
@@ -46,15 +48,24 @@
 	zmq_setsockopt(s, option, &value, sizeof(value));
 }
 
-static void set_common(void *s)
+static void set_common(const peers_t *p, void *s)
 {
 	int64_t max = (int64_t)WIRE_MAX_BYTES;
 
 	set_int(s, ZMQ_SNDHWM, HIGH_WATER);
 	set_int(s, ZMQ_RCVHWM, HIGH_WATER);
 	set_int(s, ZMQ_LINGER, LINGER_MS);
-	set_int(s, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
-	set_int(s, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
+	if (p->settings->outside) {
+		/* Bytes between data centres are dear: the kernel's probes. */
+		set_int(s, ZMQ_TCP_KEEPALIVE, 1);
+		set_int(s, ZMQ_TCP_KEEPALIVE_IDLE, KEEPALIVE_S);
+		set_int(s, ZMQ_TCP_KEEPALIVE_INTVL, KEEPALIVE_S);
+		set_int(s, ZMQ_TCP_KEEPALIVE_CNT, KEEPALIVE_PROBES);
+		set_int(s, ZMQ_TCP_MAXRT, HEARTBEAT_TIMEOUT_MS);
+	} else {
+		set_int(s, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
+		set_int(s, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
+	}
 	zmq_setsockopt(s, ZMQ_MAXMSGSIZE, &max, sizeof(max));
 }
 
@@ -165,7 +176,7 @@
 	if (!start_zap(p))
 		goto err;
 	p->in = zmq_socket(p->context, ZMQ_ROUTER);
-	set_common(p->in);
+	set_common(p, p->in);
 	set_keys(p, p->in, true);
 	g_snprintf(endpoint, sizeof(endpoint), "tcp://%s", s->peer);
 	if (zmq_bind(p->in, endpoint) == 0)
@@ -212,7 +223,7 @@
 	l->addr = strdup(addr);
 	l->used_at = now;
 	l->socket = zmq_socket(p->context, ZMQ_DEALER);
-	set_common(l->socket);
+	set_common(p, l->socket);
 	set_int(l->socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
 	set_int(l->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 	set_keys(p, l->socket, false);
@@ -223,25 +234,30 @@
 	return l;
 }
 
-bool peers_send(peers_t *p, str_t to, const peer_msg_t *m, usec_t now)
+bool peers_send_bytes(peers_t *p, str_t to, const char *bytes, size_t sz,
+		      usec_t now)
 {
 	char addr[64];
-	size_t sz;
-	char *bytes;
-	bool ok;
 
 	str_copy(addr, sizeof(addr), to);
-	bytes = wire_encode(m, &sz);
-	ok = sz <= WIRE_MAX_BYTES &&
-	     zmq_send(link_get(p, addr, now)->socket, bytes, sz,
-		      ZMQ_DONTWAIT) == (int)sz;
-	free(bytes);
-	if (ok) {
-		p->counts.bytes_sent += sz;
-		p->counts.sent++;
-	} else {
+	if (sz > WIRE_MAX_BYTES ||
+	    zmq_send(link_get(p, addr, now)->socket, bytes, sz,
+		     ZMQ_DONTWAIT) != (int)sz) {
 		p->counts.not_sent++;
+		return false;
 	}
+	p->counts.bytes_sent += sz;
+	p->counts.sent++;
+	return true;
+}
+
+bool peers_send(peers_t *p, str_t to, const peer_msg_t *m, usec_t now)
+{
+	size_t sz;
+	char *bytes = wire_encode(m, &sz);
+	bool ok = peers_send_bytes(p, to, bytes, sz, now);
+
+	free(bytes);
 	return ok;
 }
 
@@ -294,6 +310,32 @@
 	return true;
 }
 
+char *peers_receive_bytes(peers_t *p, size_t *sz)
+{
+	char *bytes = NULL;
+	zmq_msg_t frame;
+
+	zmq_msg_init(&frame);
+	if (receive(p, &frame)) {
+		*sz = zmq_msg_size(&frame);
+		bytes = xmalloc(*sz);
+		memcpy(bytes, zmq_msg_data(&frame), *sz);
+		p->counts.received++;
+		p->counts.bytes_received += *sz;
+	}
+	zmq_msg_close(&frame);
+	return bytes;
+}
+
+int peers_fd(peers_t *p)
+{
+	int fd = -1;
+	size_t sz = sizeof(fd);
+
+	zmq_getsockopt(p->in, ZMQ_FD, &fd, &sz);
+	return fd;
+}
+
 const peers_counts_t *peers_counts(const peers_t *p)
 {
 	return &p->counts;
--- /dev/null
+++ b/fleet/fleet_member.c
@@ -0,0 +1,347 @@
+/**
+ * @file fleet_member.c
+ * Members by gossip: each daemon greets a few others now and then and tells
+ * of some that it knows, with the age of that knowledge. In a data centre of
+ * many hosts two read the registry and tell the others.
+ */
+#include <stdlib.h>
+
+#include "fleet.h"
+
+#define GREET_EARLY (300 * USEC_PER_MSEC) /* while few are known */
+#define GREET_PERIOD (2 * USEC_PER_SEC)
+#define EARLY_TIME (3 * USEC_PER_SEC)
+#define ALIVE_TIME (9 * USEC_PER_SEC)  /* since a member was heard of */
+#define FORGET_TIME (60 * USEC_PER_SEC)
+/* The fleet is taken for as large as it was in the last minute: one that is
+ * cut off must not think that it is alone with all budgets. */
+#define HOSTS_TIME (60 * USEC_PER_SEC)
+/* Hosts that come on top of those that are there, as part of them. */
+#define HOSTS_SPARE 8
+#define READERS_PER_DC 2
+#define FOLLOW_MIN 6 /* in smaller data centres each host reads */
+#define WORD_TIME (2500 * USEC_PER_MSEC) /* then a follower reads itself */
+#define READ_AT_LEAST (3 * USEC_PER_SEC)
+#define MAX_MEMBERS 4096
+
+typedef struct member {
+	str_t addr; /* owned */
+	str_t dc;   /* owned */
+	usec_t heard_at;
+	uint64_t rank; /* order of readers */
+	uint64_t revision; /* of what it knew when heard of directly */
+} member_t;
+
+struct fleet {
+	str_t addr; /* owned */
+	str_t dc;   /* owned */
+	str_t *seeds;
+	size_t nseeds;
+	unsigned hosts;
+	rng_t rng;
+	member_t *v;
+	size_t n;
+	usec_t started_at;
+	usec_t greet_at;
+	usec_t read_at; /* last answer of the registry; 0: never */
+	usec_t word_at; /* a reader's state was confirmed then; 0: never */
+	usec_t own_until; /* reads for itself until then */
+	unsigned most;
+	usec_t most_at;
+};
+
+static uint64_t rank_of(str_t addr)
+{
+	return str_hash(addr, 1);
+}
+
+fleet_t *fleet_new(const fleet_params_t *p, usec_t now)
+{
+	fleet_t *f = xcalloc(1, sizeof(*f));
+	size_t i;
+
+	f->addr = str_dup(p->addr);
+	f->dc = str_dup(p->dc);
+	f->seeds = xcalloc(p->nseeds, sizeof(*f->seeds));
+	for (i = 0; i < p->nseeds; i++)
+		if (!str_eq(p->seeds[i], p->addr))
+			f->seeds[f->nseeds++] = str_dup(p->seeds[i]);
+	f->hosts = p->hosts ? p->hosts : 1;
+	f->rng.state = p->seed;
+	f->started_at = now;
+	f->greet_at = now;
+	return f;
+}
+
+static void member_clear(member_t *m)
+{
+	str_free(m->addr);
+	str_free(m->dc);
+}
+
+void fleet_free(fleet_t *f)
+{
+	size_t i;
+
+	if (!f)
+		return;
+	for (i = 0; i < f->n; i++)
+		member_clear(&f->v[i]);
+	for (i = 0; i < f->nseeds; i++)
+		str_free(f->seeds[i]);
+	free(f->seeds);
+	free(f->v);
+	str_free(f->addr);
+	str_free(f->dc);
+	free(f);
+}
+
+static member_t *find(const fleet_t *f, str_t addr)
+{
+	size_t i;
+
+	for (i = 0; i < f->n; i++)
+		if (str_eq(f->v[i].addr, addr))
+			return &f->v[i];
+	return NULL;
+}
+
+static void note(fleet_t *f, str_t addr, str_t dc, usec_t at)
+{
+	member_t *m = find(f, addr);
+
+	if (str_eq(addr, f->addr) || addr.sz == 0)
+		return;
+	if (!m) {
+		if (f->n == MAX_MEMBERS)
+			return;
+		f->v = xrealloc(f->v, (f->n + 1) * sizeof(*f->v));
+		m = &f->v[f->n++];
+		*m = (member_t){ .addr = str_dup(addr),
+				 .dc = str_dup(dc),
+				 .rank = rank_of(addr) };
+	}
+	if (at > m->heard_at)
+		m->heard_at = at;
+}
+
+static bool is_alive(const member_t *m, usec_t now)
+{
+	return now - m->heard_at < ALIVE_TIME;
+}
+
+static void forget_old(fleet_t *f, usec_t now)
+{
+	size_t i;
+
+	for (i = 0; i < f->n;) {
+		if (now - f->v[i].heard_at < FORGET_TIME) {
+			i++;
+			continue;
+		}
+		member_clear(&f->v[i]);
+		f->v[i] = f->v[--f->n];
+	}
+}
+
+static void forget(fleet_t *f, str_t addr)
+{
+	member_t *m = find(f, addr);
+
+	if (!m)
+		return;
+	member_clear(m);
+	*m = f->v[--f->n];
+}
+
+void fleet_heard(fleet_t *f, const fleet_msg_t *m, usec_t now)
+{
+	member_t *from;
+	size_t i;
+
+	if (m->kind == FLEET_LEAVE) {
+		forget(f, m->from);
+		return;
+	}
+	note(f, m->from, m->dc, now);
+	for (i = 0; i < m->ntold; i++)
+		if (m->told[i].age >= 0 && m->told[i].age < FORGET_TIME)
+			note(f, m->told[i].addr, m->told[i].dc,
+			     now - m->told[i].age);
+	from = find(f, m->from);
+	if (from)
+		from->revision = m->revision;
+	/* Only who is in the same place reads for this one. */
+	if (m->kind == FLEET_STATE && m->age >= 0 && str_eq(m->dc, f->dc) &&
+	    now - m->age > f->word_at)
+		f->word_at = now - m->age;
+}
+
+void fleet_read(fleet_t *f, usec_t now)
+{
+	f->read_at = now;
+}
+
+size_t fleet_alive(const fleet_t *f, usec_t now)
+{
+	size_t n = 1, i;
+
+	for (i = 0; i < f->n; i++)
+		n += is_alive(&f->v[i], now);
+	return n;
+}
+
+unsigned fleet_hosts(fleet_t *f, usec_t now)
+{
+	unsigned n = (unsigned)fleet_alive(f, now);
+
+	/* Hosts may be added; a few more than there are is on the safe side. */
+	n += n / HOSTS_SPARE;
+	if (n >= f->most || now - f->most_at > HOSTS_TIME) {
+		f->most = n;
+		f->most_at = now;
+	}
+	if (now - f->started_at < EARLY_TIME && f->most < f->hosts)
+		return f->hosts;
+	return f->most;
+}
+
+/* Members of the own data centre, and how many go before this one. */
+static size_t neighbours(const fleet_t *f, size_t *before, usec_t now)
+{
+	uint64_t own = rank_of(f->addr);
+	size_t n = 0, i;
+
+	*before = 0;
+	for (i = 0; i < f->n; i++) {
+		if (!is_alive(&f->v[i], now) || !str_eq(f->v[i].dc, f->dc))
+			continue;
+		n++;
+		*before += f->v[i].rank < own;
+	}
+	return n;
+}
+
+bool fleet_should_read(fleet_t *f, usec_t now)
+{
+	size_t before, n = neighbours(f, &before, now);
+
+	if (n + 1 < FOLLOW_MIN || before < READERS_PER_DC)
+		return true;
+	if (now - f->word_at > WORD_TIME)
+		f->own_until = now + READ_AT_LEAST;
+	return now < f->own_until;
+}
+
+bool fleet_has_followers(const fleet_t *f, usec_t now)
+{
+	size_t before;
+
+	return neighbours(f, &before, now) + 1 >= FOLLOW_MIN &&
+	       before < READERS_PER_DC;
+}
+
+usec_t fleet_age(const fleet_t *f, usec_t now)
+{
+	usec_t at = f->read_at > f->word_at ? f->read_at : f->word_at;
+
+	return at ? now - at : -1;
+}
+
+/* A random member that is alive, of the own data centre or of another. */
+static const member_t *random_member(fleet_t *f, bool same_dc, usec_t now)
+{
+	size_t first, i;
+
+	if (f->n == 0)
+		return NULL;
+	first = rng_below(&f->rng, f->n);
+	for (i = 0; i < f->n; i++) {
+		const member_t *m = &f->v[(first + i) % f->n];
+
+		if (is_alive(m, now) && str_eq(m->dc, f->dc) == same_dc)
+			return m;
+	}
+	return NULL;
+}
+
+size_t fleet_greet(fleet_t *f, str_t *to, size_t max, usec_t now)
+{
+	bool early = now - f->started_at < EARLY_TIME;
+	const member_t *m;
+	size_t n = 0, i;
+
+	if (now < f->greet_at)
+		return 0;
+	forget_old(f, now);
+	f->greet_at = now + (early ? GREET_EARLY : GREET_PERIOD);
+	f->greet_at += (usec_t)rng_below(&f->rng, GREET_EARLY / 2);
+	m = random_member(f, true, now);
+	if (m && n < max)
+		to[n++] = m->addr;
+	m = random_member(f, false, now);
+	if (m && n < max)
+		to[n++] = m->addr;
+	/* Seeds heal a split; they may be down or not of today. */
+	if (early || n == 0) {
+		for (i = 0; i < f->nseeds && n < max; i++)
+			to[n++] = f->seeds[i];
+	} else if (f->nseeds && n < max && rng_below(&f->rng, 4) == 0) {
+		to[n++] = f->seeds[rng_below(&f->rng, f->nseeds)];
+	}
+	return n;
+}
+
+usec_t fleet_next(const fleet_t *f)
+{
+	return f->greet_at;
+}
+
+size_t fleet_followers(const fleet_t *f, str_t *to, size_t max, usec_t now)
+{
+	size_t n = 0, i;
+
+	for (i = 0; i < f->n && n < max; i++)
+		if (is_alive(&f->v[i], now) && str_eq(f->v[i].dc, f->dc))
+			to[n++] = f->v[i].addr;
+	return n;
+}
+
+str_t fleet_ask(fleet_t *f, uint64_t revision, bool silent, usec_t now)
+{
+	const member_t *best = NULL, *m;
+	size_t i;
+
+	for (i = 0; i < f->n; i++) {
+		m = &f->v[i];
+		if (!is_alive(m, now) || m->revision <= revision)
+			continue;
+		if (!best || str_eq(m->dc, f->dc) > str_eq(best->dc, f->dc))
+			best = m;
+	}
+	if (!best && silent)
+		best = random_member(f, rng_below(&f->rng, 2), now);
+	return best ? best->addr : STR("");
+}
+
+void fleet_tell(fleet_t *f, fleet_msg_t *m, uint64_t revision, usec_t now)
+{
+	size_t first, i;
+
+	m->from = f->addr;
+	m->dc = f->dc;
+	m->revision = revision;
+	m->age = f->read_at ? now - f->read_at : -1;
+	m->ntold = 0;
+	if (f->n == 0 || (m->kind != FLEET_HELLO && m->kind != FLEET_WELCOME))
+		return;
+	first = rng_below(&f->rng, f->n);
+	for (i = 0; i < f->n && m->ntold < FLEET_MAX_TOLD; i++) {
+		const member_t *o = &f->v[(first + i) % f->n];
+
+		if (is_alive(o, now))
+			m->told[m->ntold++] = (fleet_told_t){
+				o->addr, o->dc, now - o->heard_at
+			};
+	}
+}
--- /dev/null
+++ b/fleet/fleet_state.c
@@ -0,0 +1,180 @@
+/**
+ * @file fleet_state.c
+ * Published state by key, with the revision of each key's last change, so
+ * that late or stale words never take back what is known, from whichever way
+ * they come.
+ */
+#include <stdlib.h>
+
+#include "fleet.h"
+
+#define MAX_DELETED 4096 /* deleted keys that are kept for others */
+
+typedef struct entry {
+	str_t key;   /* owned */
+	str_t value; /* owned */
+	uint64_t revision;
+	bool deleted;
+	bool listed;
+} entry_t;
+
+struct fleet_state {
+	fleet_changed_t changed;
+	void *arg;
+	entry_t **v;
+	size_t n;
+	size_t room;
+	size_t ndeleted;
+	strmap_t by_key;
+	uint64_t revision;
+	uint64_t floor; /* deletions up to it may be forgotten */
+};
+
+fleet_state_t *fleet_state_new(fleet_changed_t fn, void *arg)
+{
+	fleet_state_t *s = xcalloc(1, sizeof(*s));
+
+	s->changed = fn;
+	s->arg = arg;
+	return s;
+}
+
+static void entry_free(entry_t *e)
+{
+	str_free(e->key);
+	str_free(e->value);
+	free(e);
+}
+
+void fleet_state_free(fleet_state_t *s)
+{
+	size_t i;
+
+	if (!s)
+		return;
+	for (i = 0; i < s->n; i++)
+		entry_free(s->v[i]);
+	free(s->v);
+	strmap_free(&s->by_key);
+	free(s);
+}
+
+uint64_t fleet_state_revision(const fleet_state_t *s)
+{
+	return s->revision;
+}
+
+static entry_t *entry_get(fleet_state_t *s, str_t key)
+{
+	entry_t *e = strmap_get(&s->by_key, key);
+
+	if (e)
+		return e;
+	e = xcalloc(1, sizeof(*e));
+	e->key = str_dup(key);
+	if (s->n == s->room) {
+		s->room = s->room ? s->room * 2 : 64;
+		s->v = xrealloc(s->v, s->room * sizeof(*s->v));
+	}
+	s->v[s->n++] = e;
+	strmap_put(&s->by_key, e->key, e);
+	return e;
+}
+
+static void drop_deleted(fleet_state_t *s)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < s->n; i++) {
+		entry_t *e = s->v[i];
+
+		if (!e->deleted) {
+			s->v[n++] = e;
+			continue;
+		}
+		if (e->revision > s->floor)
+			s->floor = e->revision;
+		strmap_del(&s->by_key, e->key);
+		entry_free(e);
+	}
+	s->n = n;
+	s->ndeleted = 0;
+}
+
+void fleet_state_take(fleet_state_t *s, const fleet_item_t *it)
+{
+	entry_t *e;
+
+	/* A deletion of what is not known is still told to others. */
+	if (it->deleted && it->revision <= s->floor)
+		return;
+	e = entry_get(s, it->key);
+	e->listed = true;
+	if (e->revision >= it->revision)
+		return;
+	e->revision = it->revision;
+	if (it->deleted && !e->deleted && ++s->ndeleted > MAX_DELETED)
+		drop_deleted(s);
+	e = entry_get(s, it->key);
+	e->revision = it->revision;
+	e->deleted = it->deleted;
+	str_free(e->value);
+	e->value = str_dup(it->value);
+	s->changed(s->arg, it);
+}
+
+void fleet_state_list_begin(fleet_state_t *s)
+{
+	size_t i;
+
+	for (i = 0; i < s->n; i++)
+		s->v[i]->listed = false;
+}
+
+void fleet_state_list_end(fleet_state_t *s, uint64_t revision)
+{
+	fleet_item_t it = { .deleted = true, .revision = revision };
+	entry_t *e;
+	size_t i;
+
+	/* A list from before a key's last change tells nothing of it. */
+	for (i = 0; i < s->n; i++) {
+		e = s->v[i];
+		if (e->listed || e->deleted || e->revision >= revision)
+			continue;
+		it.key = e->key;
+		e->revision = revision;
+		e->deleted = true;
+		str_free(e->value);
+		e->value = (str_t){ 0 };
+		s->ndeleted++;
+		s->changed(s->arg, &it);
+	}
+	fleet_state_reached(s, revision);
+}
+
+void fleet_state_reached(fleet_state_t *s, uint64_t revision)
+{
+	if (revision > s->revision)
+		s->revision = revision;
+}
+
+void fleet_state_since(const fleet_state_t *s, fleet_msg_t *m, arena_t *mem)
+{
+	size_t n = 0, i;
+
+	/* Deletions that are forgotten here: all that is left must be told. */
+	m->whole = m->since == 0 || m->since < s->floor;
+	for (i = 0; i < s->n; i++)
+		n += m->whole || s->v[i]->revision > m->since;
+	m->items = arena_alloc(mem, n * sizeof(*m->items));
+	m->nitems = 0;
+	for (i = 0; i < s->n; i++) {
+		const entry_t *e = s->v[i];
+
+		if (m->whole || e->revision > m->since)
+			m->items[m->nitems++] = (fleet_item_t){
+				e->key, e->value, e->revision, e->deleted
+			};
+	}
+}
--- a/route/route.h
+++ b/route/route.h
@@ -288,13 +288,6 @@
 void rt_entry(rt_t *rt, const rt_entry_t *e, usec_t now);
 /** A server is not published any more. */
 void rt_gone(rt_t *rt, str_t id, usec_t now);
-/** Begins a whole list: what rt_entry() does not name until rt_list_end()
- * is gone. */
-void rt_list_begin(rt_t *rt);
-/** The list names a server whose entry did not change. */
-void rt_listed(rt_t *rt, str_t id);
-/** Ends a whole list. */
-void rt_list_end(rt_t *rt, usec_t now);
 /** Whether the registry answers. */
 void rt_registry(rt_t *rt, bool up, usec_t now);
 
--- a/route/rt_server.c
+++ b/route/rt_server.c
@@ -279,7 +279,6 @@
 	}
 	s->slots = e->slots ? e->slots : 1;
 	s->warm_at = e->warm_left > 0 ? now + e->warm_left : 0;
-	s->listed = true;
 	s->lapsed_at = 0;
 	if (e->draining)
 		rt_server_leave(rt, s, RT_WHY_DRAINING, now);
@@ -311,38 +310,6 @@
 	rt_server_release(rt, s);
 }
 
-void rt_list_begin(rt_t *rt)
-{
-	uint32_t i;
-	rt_server_t *s;
-
-	for (i = 0; i < rt->server_nums.n; i++) {
-		s = idmap_at(&rt->server_nums, i);
-		if (s)
-			s->listed = false;
-	}
-}
-
-void rt_listed(rt_t *rt, str_t id)
-{
-	rt_server_t *s = strmap_get(&rt->servers, id);
-
-	if (s)
-		s->listed = true;
-}
-
-void rt_list_end(rt_t *rt, usec_t now)
-{
-	uint32_t i;
-	rt_server_t *s;
-
-	for (i = 0; i < rt->server_nums.n; i++) {
-		s = idmap_at(&rt->server_nums, i);
-		if (s && !s->listed && !s->gone)
-			rt_gone(rt, s->id, now);
-	}
-}
-
 void rt_registry(rt_t *rt, bool up, usec_t now)
 {
 	if (up == rt->registry_up)
--- a/wire/libwire.h
+++ b/wire/libwire.h
@@ -25,8 +25,6 @@
 
 extern const wire_field_t wire_fields[];
 extern const size_t wire_nfields;
-/** Whether the bytes are one object whose headers count no more than it has. */
-bool wire_scan(const char *bytes, size_t sz);
 /** Number of members of a kind. */
 size_t wire_count(peer_kind_t kind);
 
--- a/wire/wire.h
+++ b/wire/wire.h
@@ -37,6 +37,8 @@
  */
 wire_err_t wire_decode(const char *bytes, size_t sz, peer_msg_t *m,
 		       arena_t *mem);
+/** Whether the bytes are one object whose headers count no more than it has. */
+bool wire_scan(const char *bytes, size_t sz);
 /** Frees the parts of groups that are still there. */
 void wire_free_parts(peer_msg_t *m);
 
