Probe with a copy, share what is slow in a data centre, start turns at random

Weighted routes began at the same service on each host: a half share got 0.61 of 323 requests. Ruled out: the budget of further sends (35 of 3425 hedges were denied). Change: a probe is a copy beside the request; a server gets some eight a second from all hosts together; a host that finds a server slow or well tells its data centre; an answer that is out for 300 ms counts as slow; the turns of weights start at a random place.

--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -29,12 +29,14 @@
 static void act_answer(edge_t *e, const rt_act_t *act);
 static void act_open(edge_t *e, const rt_act_t *act);
 static void act_close(edge_t *e, const rt_act_t *act);
+static void act_tell(edge_t *e, const rt_act_t *act);
 static void act_log(edge_t *e, const rt_act_t *act);
 
 static const act_fn_t act_fns[RT_ACT_MAX] = {
 	[RT_ACT_SEND] = act_send,     [RT_ACT_CANCEL] = act_cancel,
 	[RT_ACT_ANSWER] = act_answer, [RT_ACT_OPEN] = act_open,
-	[RT_ACT_CLOSE] = act_close,   [RT_ACT_LOG] = act_log,
+	[RT_ACT_CLOSE] = act_close,   [RT_ACT_TELL] = act_tell,
+	[RT_ACT_LOG] = act_log,
 };
 
 /* What belongs to the run and not to the loop. */
@@ -78,6 +80,11 @@
 	links_close(e->links, act->server.server);
 }
 
+static void act_tell(edge_t *e, const rt_act_t *act)
+{
+	fleet_peers_tell(e, act->tell.server_id, act->tell.pace);
+}
+
 static void act_log(edge_t *e, const rt_act_t *act)
 {
 	const rt_line_t *l = &act->line;
@@ -435,8 +442,8 @@
 	err = start(r);
 	if (err == DAEMON_OK) {
 		log_json(G_LOG_LEVEL_MESSAGE, "start",
-			 "\"name\":\"%s\",\"listen\":\"%s\"",
-			 r->settings.name, r->settings.listen);
+			 "\"name\":\"%s\",\"listen\":\"%s\"", r->settings.name,
+			 r->settings.listen);
 		event_base_dispatch(r->edge.base);
 		log_json(G_LOG_LEVEL_MESSAGE, "end", "\"open\":%zu",
 			 rt_open(r->edge.rt));
--- a/daemon/edge_link.c
+++ b/daemon/edge_link.c
@@ -13,8 +13,9 @@
 
 #define CONNECT_TIME_MS 400		/* beyond it a server counts as away */
 #define IDLE_DEFAULT (5 * USEC_PER_SEC) /* where a server tells no time */
-#define IDLE_MARGIN (700 * USEC_PER_MSEC) /* before its time: close crossing   \
-					   */
+#define IDLE_MARGIN                                                            \
+	(700 * USEC_PER_MSEC) /* before its time: close crossing               \
+			       */
 /* A request that must not run twice takes a connection used since then. */
 #define FRESH (1 * USEC_PER_SEC)
 /* Connections to servers that are not kept stay open for a few requests. */
--- a/daemon/edge_peer.c
+++ b/daemon/edge_peer.c
@@ -28,11 +28,12 @@
 static void on_ask(edge_t *e, const fleet_msg_t *m, usec_t now);
 static void on_state(edge_t *e, const fleet_msg_t *m, usec_t now);
 static void on_leave(edge_t *e, const fleet_msg_t *m, usec_t now);
+static void on_pace(edge_t *e, const fleet_msg_t *m, usec_t now);
 
 static const msg_fn_t msg_fns[FLEET_KINDS] = {
 	[FLEET_HELLO] = on_hello, [FLEET_WELCOME] = on_welcome,
 	[FLEET_ASK] = on_ask,	  [FLEET_STATE] = on_state,
-	[FLEET_LEAVE] = on_leave,
+	[FLEET_LEAVE] = on_leave, [FLEET_PACE] = on_pace,
 };
 
 static void send_msg(edge_t *e, str_t to, fleet_msg_t *m, usec_t now)
@@ -102,6 +103,11 @@
 		fleet_state_reached(e->state, m->revision);
 }
 
+static void on_pace(edge_t *e, const fleet_msg_t *m, usec_t now)
+{
+	rt_told(e->rt, m->server, (double)m->pace / FLEET_PACE_UNIT, now);
+}
+
 static void receive_all(edge_t *e)
 {
 	arena_t mem = { 0 };
@@ -191,15 +197,27 @@
 		send_state(e, to[i], before, now);
 }
 
-void fleet_peers_leave(edge_t *e)
+static void send_neighbours(edge_t *e, fleet_msg_t *m)
 {
-	fleet_msg_t m = { .kind = FLEET_LEAVE };
 	usec_t now = clock_now();
 	str_t to[MAX_FOLLOWERS];
 	size_t n = fleet_followers(e->fleet, to, MAX_FOLLOWERS, now), i;
 
 	for (i = 0; i < n; i++)
-		send_msg(e, to[i], &m, now);
+		send_msg(e, to[i], m, now);
+}
+
+void fleet_peers_leave(edge_t *e)
+{
+	send_neighbours(e, &(fleet_msg_t){ .kind = FLEET_LEAVE });
+}
+
+void fleet_peers_tell(edge_t *e, str_t server_id, double pace)
+{
+	fleet_msg_t m = { .kind = FLEET_PACE, .server = server_id };
+
+	m.pace = (uint64_t)(pace * FLEET_PACE_UNIT);
+	send_neighbours(e, &m);
 }
 
 bool fleet_peers_start(edge_t *e)
--- a/daemon/edge_state.c
+++ b/daemon/edge_state.c
@@ -35,8 +35,7 @@
 
 	if (it->deleted) {
 		rt_gone(e->rt, id, clock_now());
-	} else if (e->outside->read_server(id, it->value, &entry, mem,
-					      fault)) {
+	} else if (e->outside->read_server(id, it->value, &entry, mem, fault)) {
 		rt_entry(e->rt, &entry, clock_now());
 	} else {
 		log_bad(it, fault);
--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -9,7 +9,7 @@
 
 #include "libedge.h"
 
-#define WATCH_TIME (20 * USEC_PER_SEC)	 /* a watch waits so long for news */
+#define WATCH_TIME (20 * USEC_PER_SEC) /* a watch waits so long for news */
 /* The same where others rely on it: each answer tells them that it lives. */
 #define LEAD_TIME (1 * USEC_PER_SEC)
 #define CALL_TIME (1500 * USEC_PER_MSEC) /* beyond what the call may wait */
@@ -76,7 +76,8 @@
 			 up ? "registry regained" : "registry lost",
 			 "\"addr\":\"%s\",\"why\":\"%s\",\"status\":%u,"
 			 "\"revision\":%llu",
-			 s->addr, why, status, (unsigned long long)fleet_state_revision(s->e->state));
+			 s->addr, why, status,
+			 (unsigned long long)fleet_state_revision(s->e->state));
 	s->up = up;
 }
 
@@ -99,11 +100,11 @@
 	size_t i;
 
 	for (i = 0; i < items->n; i++)
-		fleet_state_take(s->e->state, &(fleet_item_t){
-						      items->v[i].key,
-						      items->v[i].value,
-						      items->v[i].revision,
-						      items->v[i].deleted });
+		fleet_state_take(s->e->state,
+				 &(fleet_item_t){ items->v[i].key,
+						  items->v[i].value,
+						  items->v[i].revision,
+						  items->v[i].deleted });
 }
 
 static void take_list(store_t *s, const outside_items_t *items)
@@ -190,7 +191,8 @@
 		take_answer(s);
 	} else if (status == HTTP_GONE && !s->listing) {
 		log_json(G_LOG_LEVEL_MESSAGE, "registry history lost",
-			 "\"revision\":%llu", (unsigned long long)fleet_state_revision(s->e->state));
+			 "\"revision\":%llu",
+			 (unsigned long long)fleet_state_revision(s->e->state));
 		s->calling = false;
 		start_list(s);
 		call(s);
--- a/daemon/libdaemon.h
+++ b/daemon/libdaemon.h
@@ -58,18 +58,18 @@
 	char *peer_public;
 	char *policy;
 	char *log_level;
-	char *outside;	/* how others speak; NULL: only the own way */
-	char *registry; /* IP:PORT of published state; of outside */
-	char *ready;	/* asked by the balancer; of outside */
-	unsigned stop_grace_ms;	   /* the balancer's lag */
-	unsigned stop_limit_ms;	   /* longest wait for open requests */
+	char *outside;		/* how others speak; NULL: only the own way */
+	char *registry;		/* IP:PORT of published state; of outside */
+	char *ready;		/* asked by the balancer; of outside */
+	unsigned stop_grace_ms; /* the balancer's lag */
+	unsigned stop_limit_ms; /* longest wait for open requests */
 	unsigned hedge_percentile; /* UINT32_MAX for the default, as below */
 	unsigned hedge_budget;	   /* percent of first attempts */
 	unsigned retry_budget;	   /* percent of first attempts */
 	unsigned seed;
-	unsigned fleet;		/* hosts that share limits; of outside */
-	unsigned extra_fixed;	/* further sends a window, all hosts */
-	double extra_share;	/* further sends per first send */
+	unsigned fleet;	      /* hosts that share limits; of outside */
+	unsigned extra_fixed; /* further sends a window, all hosts */
+	double extra_share;   /* further sends per first send */
 	double extra_window_s;
 } settings_t;
 
--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -241,8 +241,8 @@
 
 	str_copy(addr, sizeof(addr), to);
 	if (sz > WIRE_MAX_BYTES ||
-	    zmq_send(link_get(p, addr, now)->socket, bytes, sz,
-		     ZMQ_DONTWAIT) != (int)sz) {
+	    zmq_send(link_get(p, addr, now)->socket, bytes, sz, ZMQ_DONTWAIT) !=
+		    (int)sz) {
 		p->counts.not_sent++;
 		return false;
 	}
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -9,7 +9,8 @@
 
 #include "base.h"
 
-#define FLEET_MAX_TOLD 16 /**< members that one message tells of */
+#define FLEET_PACE_UNIT 1000.0 /**< of a pace of 1 */
+#define FLEET_MAX_TOLD 16      /**< members that one message tells of */
 
 /** A published key as it was last written. */
 typedef struct fleet_item {
@@ -26,6 +27,7 @@
 	FLEET_ASK,   /**< wants what changed after a revision */
 	FLEET_STATE, /**< what changed after a revision */
 	FLEET_LEAVE, /**< the sender ends */
+	FLEET_PACE,  /**< how fast a server answers the sender */
 	FLEET_KINDS,
 } fleet_kind_t;
 
@@ -42,9 +44,11 @@
 	str_t from; /**< address of the sender */
 	str_t dc;
 	uint64_t revision; /**< that the sender's state holds for */
-	usec_t age;	   /**< since the registry confirmed it; below 0: never */
-	uint64_t since;	   /**< of ASK and STATE: changes after it */
-	bool whole;	   /**< of STATE: keys that are not named are gone */
+	usec_t age;	/**< since the registry confirmed it; below 0: never */
+	uint64_t since; /**< of ASK and STATE: changes after it */
+	bool whole;	/**< of STATE: keys that are not named are gone */
+	str_t server;	/**< of PACE: its id */
+	uint64_t pace;	/**< of PACE: its time over the usual, thousandths */
 	fleet_told_t told[FLEET_MAX_TOLD];
 	size_t ntold;
 	fleet_item_t *items;
--- a/fleet/fleet_member.c
+++ b/fleet/fleet_member.c
@@ -11,7 +11,7 @@
 #define GREET_EARLY (300 * USEC_PER_MSEC) /* while few are known */
 #define GREET_PERIOD (2 * USEC_PER_SEC)
 #define EARLY_TIME (3 * USEC_PER_SEC)
-#define ALIVE_TIME (9 * USEC_PER_SEC)  /* since a member was heard of */
+#define ALIVE_TIME (9 * USEC_PER_SEC) /* since a member was heard of */
 #define FORGET_TIME (60 * USEC_PER_SEC)
 /* The fleet is taken for as large as it was in the last minute: one that is
  * cut off must not think that it is alone with all budgets. */
@@ -28,7 +28,7 @@
 	str_t addr; /* owned */
 	str_t dc;   /* owned */
 	usec_t heard_at;
-	uint64_t rank; /* order of readers */
+	uint64_t rank;	   /* order of readers */
 	uint64_t revision; /* of what it knew when heard of directly */
 } member_t;
 
@@ -43,8 +43,8 @@
 	size_t n;
 	usec_t started_at;
 	usec_t greet_at;
-	usec_t read_at; /* last answer of the registry; 0: never */
-	usec_t word_at; /* a reader's state was confirmed then; 0: never */
+	usec_t read_at;	  /* last answer of the registry; 0: never */
+	usec_t word_at;	  /* a reader's state was confirmed then; 0: never */
 	usec_t own_until; /* reads for itself until then */
 	unsigned most;
 	usec_t most_at;
@@ -340,8 +340,8 @@
 		const member_t *o = &f->v[(first + i) % f->n];
 
 		if (is_alive(o, now))
-			m->told[m->ntold++] = (fleet_told_t){
-				o->addr, o->dc, now - o->heard_at
-			};
+			m->told[m->ntold++] =
+				(fleet_told_t){ o->addr, o->dc,
+						now - o->heard_at };
 	}
 }
--- a/fleet/fleet_state.c
+++ b/fleet/fleet_state.c
@@ -173,8 +173,8 @@
 		const entry_t *e = s->v[i];
 
 		if (m->whole || e->revision > m->since)
-			m->items[m->nitems++] = (fleet_item_t){
-				e->key, e->value, e->revision, e->deleted
-			};
+			m->items[m->nitems++] =
+				(fleet_item_t){ e->key, e->value, e->revision,
+						e->deleted };
 	}
 }
--- a/fleet/fleet_wire.c
+++ b/fleet/fleet_wire.c
@@ -1,7 +1,7 @@
 /**
  * @file fleet_wire.c
  * Messages as bytes: one msgpack array of version, kind, sender, revision,
- * age, members told of, and items.
+ * age, a server's pace, members told of, and items.
  */
 #include <msgpack.h>
 #include <stdlib.h>
@@ -11,7 +11,7 @@
 #include "wire.h"
 
 #define VERSION 1
-#define MEMBERS 9 /* of the outer array */
+#define MEMBERS 11 /* of the outer array */
 #define MAX_ITEMS 100000
 
 static void pack_str(msgpack_packer *pk, str_t v)
@@ -61,6 +61,8 @@
 	msgpack_pack_uint64(&pk, m->revision);
 	msgpack_pack_int64(&pk, m->age);
 	msgpack_pack_uint64(&pk, m->since << 1 | m->whole);
+	pack_str(&pk, m->server);
+	msgpack_pack_uint64(&pk, m->pace);
 	pack_told(&pk, m);
 	pack_items(&pk, m);
 	*sz = buf.size;
@@ -156,7 +158,8 @@
 		return false;
 	m->whole = m->since & 1;
 	m->since >>= 1;
-	return get_told(&at[7], m, mem) && get_items(&at[8], m, mem);
+	return get_str(&at[7], &m->server, mem) && get_u64(&at[8], &m->pace) &&
+	       get_told(&at[9], m, mem) && get_items(&at[10], m, mem);
 }
 
 bool fleet_decode(const char *bytes, size_t sz, fleet_msg_t *m, arena_t *mem)
--- a/route/libroute.h
+++ b/route/libroute.h
@@ -132,7 +132,8 @@
 	rt_why_t why;
 	usec_t sent_at;
 	usec_t deadline;
-	bool late;		 /* the server was noted as slow for it */
+	bool late;   /* the server was noted as busy with it for long */
+	bool silent; /* the server was noted as slow for it */
 	struct rt_attempt *prev; /* of the same server */
 	struct rt_attempt *next;
 } rt_attempt_t;
@@ -200,7 +201,8 @@
 /* Notes that a request is out to it for longer than usual. */
 void rt_server_late(rt_attempt_t *a);
 /* Whether it may be tried again after it was slow or failed. */
-bool rt_server_wants_probe(const rt_server_t *s, double best, usec_t now);
+bool rt_server_wants_probe(const rt_t *rt, const rt_server_t *s, double best,
+			   usec_t now);
 /* Requests that this host may have out to it. */
 unsigned rt_server_cap(const rt_t *rt, const rt_server_t *s);
 void rt_server_leave(rt_t *rt, rt_server_t *s, rt_why_t why, usec_t now);
@@ -219,6 +221,8 @@
 } rt_pick_t;
 void rt_pick(rt_t *rt, const rt_shard_t *sh, rt_why_t why, usec_t now,
 	     rt_pick_t *p);
+/* A server of which is to be learnt whether it is well again, if any. */
+void rt_pick_probe(rt_t *rt, const rt_shard_t *sh, usec_t now, rt_pick_t *p);
 
 /* rt_wait.c: shards that wait until a server has room. */
 void rt_wait_push(rt_t *rt, rt_shard_t *sh);
--- a/route/route.h
+++ b/route/route.h
@@ -201,6 +201,7 @@
 	RT_ACT_ANSWER, /**< answer a caller */
 	RT_ACT_OPEN,   /**< keep connections to a server open */
 	RT_ACT_CLOSE,  /**< a server is gone: close what is idle */
+	RT_ACT_TELL,   /**< tell neighbours that a server is slow or well */
 	RT_ACT_LOG,
 	RT_ACT_MAX,
 } rt_act_kind_t;
@@ -238,6 +239,10 @@
 			unsigned warm; /**< connections to open early */
 			bool keep;     /**< keep them while they are idle */
 		} server;
+		struct {
+			str_t server_id;
+			double pace; /**< its time over the usual time */
+		} tell;
 		rt_line_t line;
 	};
 } rt_act_t;
@@ -288,6 +293,8 @@
 void rt_entry(rt_t *rt, const rt_entry_t *e, usec_t now);
 /** A server is not published any more. */
 void rt_gone(rt_t *rt, str_t id, usec_t now);
+/** A neighbour tells how fast a server answers: time over usual time. */
+void rt_told(rt_t *rt, str_t server_id, double pace, usec_t now);
 /** Whether the registry answers. */
 void rt_registry(rt_t *rt, bool up, usec_t now);
 
--- a/route/rt_pick.c
+++ b/route/rt_pick.c
@@ -9,10 +9,9 @@
  */
 #include "libroute.h"
 
-#define COLD_FACTOR 1.6	  /* a server is so much slower while it warms up */
-#define LOAD_FACTOR 0.7	  /* of a full set of own requests in flight */
-#define NOISE 0.04	  /* keeps hosts from choosing alike */
-#define PROBE_RESERVE 2.0 /* further sends that must be left for a probe */
+#define COLD_FACTOR 1.6 /* a server is so much slower while it warms up */
+#define LOAD_FACTOR 0.7 /* of a full set of own requests in flight */
+#define NOISE 0.04	/* keeps hosts from choosing alike */
 
 /** How much a server is wanted; the best kind that there is, is used. */
 typedef enum rank {
@@ -164,14 +163,12 @@
 	return s->nlate ? RANK_LATE : RANK_GOOD;
 }
 
-/* Looks at every server; returns how many there are, and the best pace. */
-static size_t look(const rt_t *rt, const rt_shard_t *sh, cand_t *v,
-		   double *best_pace, usec_t now)
+/* Looks at every server; returns how many may be used. */
+static size_t look(const rt_t *rt, const rt_shard_t *sh, cand_t *v, usec_t now)
 {
 	const rt_svc_t *svc = sh->svc;
 	size_t n = 0, i;
 
-	*best_pace = 0;
 	for (i = 0; i < svc->n && n < RT_MAX_CANDIDATES; i++) {
 		rt_server_t *s = svc->v[i];
 		rank_t rank = rank_of(sh, s, now);
@@ -180,28 +177,10 @@
 			continue;
 		v[n++] =
 			(cand_t){ s, rank, s->inflight < rt_server_cap(rt, s) };
-		if (*best_pace == 0 || s->pace < *best_pace)
-			*best_pace = s->pace;
 	}
 	return n;
 }
 
-static rt_server_t *find_probe(rt_t *rt, const rt_shard_t *sh, const cand_t *v,
-			       size_t n, double best_pace, usec_t now)
-{
-	size_t i;
-
-	if (!sh->q->route->idempotent || n < 2 || sh->q->route->attempts < 2)
-		return NULL;
-	if (rt_budget_left(&sh->svc->budget, &rt->p, now) < PROBE_RESERVE)
-		return NULL;
-	for (i = 0; i < n; i++)
-		if (v[i].rank != RANK_TRIED &&
-		    rt_server_wants_probe(v[i].s, best_pace, now))
-			return v[i].s;
-	return NULL;
-}
-
 /* Moves candidates of one rank with room to the front; counts them. */
 static size_t filter(const cand_t *from, size_t n, rank_t rank, cand_t *to,
 		     size_t *usable)
@@ -223,22 +202,11 @@
 {
 	usec_t usual = rt_stat_usual(sh->q->stat);
 	cand_t all[RT_MAX_CANDIDATES], v[RT_MAX_CANDIDATES];
-	double best_pace;
 	rank_t rank;
 	size_t n;
 
 	*p = (rt_pick_t){ .why = why };
-	n = look(rt, sh, all, &best_pace, now);
-	if (why == RT_WHY_FIRST)
-		p->s = find_probe(rt, sh, all, n, best_pace, now);
-	if (p->s) {
-		p->why = RT_WHY_PROBE;
-		p->expected = (usec_t)expected(p->s, usual, now);
-		p->candidates = n;
-		p->s->probed_at = now;
-		p->s->sampled_at = now;
-		return;
-	}
+	n = look(rt, sh, all, now);
 	for (rank = RANK_GOOD; rank < RANK_OUT && p->candidates == 0; rank++) {
 		/* A second send to a server that has the first is of no use. */
 		if (rank == RANK_TRIED && (why == RT_WHY_HEDGE || sh->nlive))
@@ -252,3 +220,34 @@
 		       .s;
 	p->expected = (usec_t)expected(p->s, usual, now);
 }
+
+static double best_pace(const rt_svc_t *svc)
+{
+	double best = 0;
+	size_t i;
+
+	for (i = 0; i < svc->n; i++)
+		if (rt_server_usable(svc->v[i]) &&
+		    (best == 0 || svc->v[i]->pace < best))
+			best = svc->v[i]->pace;
+	return best;
+}
+
+void rt_pick_probe(rt_t *rt, const rt_shard_t *sh, usec_t now, rt_pick_t *p)
+{
+	double best = best_pace(sh->svc);
+	rt_server_t *s;
+	size_t i;
+
+	*p = (rt_pick_t){ .why = RT_WHY_PROBE, .candidates = sh->svc->n };
+	for (i = 0; i < sh->svc->n && !p->s; i++) {
+		s = sh->svc->v[i];
+		if (!was_tried(sh, s) &&
+		    rt_server_wants_probe(rt, s, best, now))
+			p->s = s;
+	}
+	if (!p->s)
+		return;
+	p->expected = (usec_t)expected(p->s, rt_stat_usual(sh->q->stat), now);
+	p->s->probed_at = now;
+}
--- a/route/rt_server.c
+++ b/route/rt_server.c
@@ -19,7 +19,16 @@
 #define FAIL_TOO_MANY 0.2 /* share of failures to be avoided */
 #define AVOID_MIN (150 * USEC_PER_MSEC)
 #define AVOID_MAX (2 * USEC_PER_SEC)
-#define PROBE_PERIOD (700 * USEC_PER_MSEC) /* of one that is only slow */
+/* A server gets some eight probes a second from all hosts together. */
+#define PROBE_PERIOD_PER_HOST (120 * USEC_PER_MSEC)
+#define PROBE_PERIOD_MIN (500 * USEC_PER_MSEC)
+#define RECOVERY_WEIGHT 0.75 /* of a probe's answer in a slow server's pace */
+/* An answer that is out for so long, and so many usual times, is late for
+ * more than a pause of the server. */
+#define SILENT_TIME (300 * USEC_PER_MSEC)
+#define SILENT_FACTOR 6
+/* What others tell does not stand against an own answer since then. */
+#define OWN_WORD (1 * USEC_PER_SEC)
 #define LAPSE_WAIT (2 * USEC_PER_SEC)	/* to register again after an outage */
 #define LATE_GRACE (40 * USEC_PER_MSEC) /* past a send's deadline */
 /* Part of a server's connections that is used: hosts come and go. */
@@ -81,26 +90,47 @@
 				 .failure = true });
 }
 
+/* Crossing the line between well and slow is told to neighbours. */
+static void set_pace(rt_t *rt, rt_server_t *s, double pace, usec_t took)
+{
+	bool was_slow = s->pace > PACE_SLOW;
+	rt_act_t *a;
+
+	s->pace = pace;
+	if (was_slow == (pace > PACE_SLOW))
+		return;
+	log_belief(rt, s, was_slow ? RT_WHY_WELL : RT_WHY_SLOW, took);
+	a = rt_act_add(rt, RT_ACT_TELL);
+	a->tell.server_id = arena_str(&rt->scratch, s->id);
+	a->tell.pace = pace;
+}
+
 static void note_pace(rt_t *rt, rt_attempt_t *a, usec_t now)
 {
 	rt_server_t *s = a->server;
 	usec_t took = now - a->sent_at;
 	double ratio = (double)took / (double)rt_stat_usual(a->stat);
-	double before = s->pace;
+	double weight = PACE_WEIGHT;
 
 	if (ratio > PACE_MAX)
 		ratio = PACE_MAX;
-	/* A slow one that answers a probe fast is believed sooner. */
 	if (s->pace > PACE_SLOW && ratio < s->pace)
-		s->pace = (s->pace + ratio) / 2;
-	else
-		s->pace += PACE_WEIGHT * (ratio - s->pace);
+		weight = RECOVERY_WEIGHT;
 	s->sampled_at = now;
 	rt_stat_note(a->stat, took);
-	if (before <= PACE_SLOW && s->pace > PACE_SLOW)
-		log_belief(rt, s, RT_WHY_SLOW, took);
-	if (before > PACE_SLOW && s->pace <= PACE_SLOW)
-		log_belief(rt, s, RT_WHY_WELL, took);
+	set_pace(rt, s, s->pace + weight * (ratio - s->pace), took);
+}
+
+void rt_told(rt_t *rt, str_t id, double pace, usec_t now)
+{
+	rt_server_t *s = strmap_get(&rt->servers, id);
+
+	if (!s || !(pace > 0) || pace > PACE_MAX)
+		return;
+	if (s->pace <= PACE_SLOW && now - s->sampled_at < OWN_WORD)
+		return;
+	s->pace = pace;
+	s->sampled_at = now;
 }
 
 static void note_failure(rt_t *rt, rt_server_t *s, rt_result_t r, usec_t now)
@@ -144,8 +174,9 @@
 		break;
 	case RT_NOT_RUN:
 		/* It is full: as slow as the slowest, for a moment. */
-		s->pace += PACE_WEIGHT * (PACE_MAX - s->pace);
 		s->sampled_at = now;
+		set_pace(rt, s, s->pace + PACE_WEIGHT * (PACE_MAX - s->pace),
+			 now - a->sent_at);
 		break;
 	case RT_MOVED:
 		rt_server_leave(rt, s, RT_WHY_MOVED, now);
@@ -166,14 +197,21 @@
 	rt_server_release(rt, s);
 }
 
-bool rt_server_wants_probe(const rt_server_t *s, double best, usec_t now)
+bool rt_server_wants_probe(const rt_t *rt, const rt_server_t *s, double best,
+			   usec_t now)
 {
+	usec_t period = rt->p.fleet * PROBE_PERIOD_PER_HOST;
+	bool fails = s->fail_streak > 1 || s->failing > FAIL_TOO_MANY;
+
 	if (s->inflight || !rt_server_usable(s) || s->lapsed_at)
 		return false;
-	if (s->fail_streak > 1 || s->failing > FAIL_TOO_MANY)
-		return now >= s->avoid_until && now - s->probed_at >= AVOID_MIN;
-	return s->pace > PACE_SLOW * best &&
-	       now - s->sampled_at >= PROBE_PERIOD;
+	if (period < PROBE_PERIOD_MIN)
+		period = PROBE_PERIOD_MIN;
+	if (now - s->probed_at < period)
+		return false;
+	if (fails)
+		return now >= s->avoid_until;
+	return s->pace > PACE_SLOW * best && now - s->sampled_at >= period / 2;
 }
 
 void rt_server_leave(rt_t *rt, rt_server_t *s, rt_why_t why, usec_t now)
@@ -321,6 +359,19 @@
 		rt->registry_lost_at = now;
 }
 
+/* No answer for so long says as much as a slow one. */
+static void note_silence(rt_t *rt, rt_attempt_t *a, usec_t now)
+{
+	usec_t out = now - a->sent_at;
+
+	if (a->silent || out < SILENT_TIME ||
+	    out < SILENT_FACTOR * rt_stat_usual(a->stat))
+		return;
+	a->silent = true;
+	a->server->sampled_at = now;
+	set_pace(rt, a->server, PACE_MAX, out);
+}
+
 /* Sends whose time is over are lost; lapsed servers are gone in the end. */
 static void sweep_server(rt_t *rt, rt_server_t *s, usec_t now)
 {
@@ -328,6 +379,7 @@
 
 	for (a = s->out; a; a = next) {
 		next = a->next;
+		note_silence(rt, a, now);
 		if (now < a->deadline + LATE_GRACE)
 			continue;
 		rt_act_add(rt, RT_ACT_CANCEL)->aid = a->id;
--- a/route/rt_shard.c
+++ b/route/rt_shard.c
@@ -9,6 +9,8 @@
 
 /* Sends beyond the route's attempts, for those that were not run. */
 #define REFUSED_SENDS 2
+/* Further sends that must be left for hedges and retries. */
+#define PROBE_RESERVE 3.0
 /* Before a server is asked again that refused: about one request's work. */
 #define AGAIN_MIN (10 * USEC_PER_MSEC)
 
@@ -105,6 +107,24 @@
 	arm_hedge(sh, now);
 }
 
+static bool may_send(const rt_shard_t *sh);
+
+/*
+ * A copy goes to a server that was slow or failed, to learn whether it is
+ * well again; the request itself does not wait for it.
+ */
+static void probe(rt_t *rt, rt_shard_t *sh, usec_t now)
+{
+	rt_pick_t p;
+
+	if (!sh->q->route->idempotent || !may_send(sh) ||
+	    rt_budget_left(&sh->svc->budget, &rt->p, now) < PROBE_RESERVE)
+		return;
+	rt_pick_probe(rt, sh, now, &p);
+	if (p.s && rt_budget_take(&sh->svc->budget, &rt->p, now))
+		shard_send(rt, sh, &p, now);
+}
+
 /* Whether the route allows one more server. */
 static bool may_send(const rt_shard_t *sh)
 {
@@ -136,6 +156,8 @@
 		return;
 	}
 	shard_send(rt, sh, &p, now);
+	if (why == RT_WHY_FIRST)
+		probe(rt, sh, now);
 }
 
 static void hedge(rt_t *rt, rt_shard_t *sh, usec_t now)
--- a/route/rt_view.c
+++ b/route/rt_view.c
@@ -3,6 +3,8 @@
 
 #include "libroute.h"
 
+#define MAX_TURNS 1000 /* of which one is drawn to begin with */
+
 rt_svc_t *rt_svc_get(rt_t *rt, str_t name)
 {
 	rt_svc_t *s = strmap_get(&rt->svcs, name);
@@ -31,6 +33,24 @@
 	return s;
 }
 
+/*
+ * Begins the turns of a route at a random place: hosts that see few requests
+ * each would otherwise all send their first ones to the same service.
+ */
+static void start_turns(rt_t *rt, rt_view_t *v, const rt_route_t *r)
+{
+	uint64_t sum = 0, i;
+
+	v->credit[r - v->conf->routes] =
+		xcalloc(r->ntargets, sizeof(**v->credit));
+	for (i = 0; i < r->ntargets; i++)
+		sum += r->targets[i].weight;
+	if (sum > MAX_TURNS)
+		sum = MAX_TURNS;
+	for (i = rng_below(&rt->rng, sum); i > 0; i--)
+		rt_view_turn(v, r);
+}
+
 rt_view_t *rt_view_new(rt_t *rt, rt_conf_t *c)
 {
 	rt_view_t *v = xcalloc(1, sizeof(*v));
@@ -48,8 +68,7 @@
 	for (i = 0; i < c->nroutes; i++) {
 		v->stats[i] = stat_get(rt, c->routes[i].name);
 		if (c->routes[i].mode == RT_ONE && c->routes[i].ntargets > 1)
-			v->credit[i] = xcalloc(c->routes[i].ntargets,
-					       sizeof(*v->credit[i]));
+			start_turns(rt, v, &c->routes[i]);
 	}
 	return v;
 }
