Send a second time as late as it can still be in time; keep budget for retries

Second sends went out at the time that 92 of 100 answers take, though pauses end by themselves. Change: a second send waits until three usual times before the answer is due; it leaves 1.5 sends for retries; 95% of the share and 85% of the fixed part of the budget are used.

--- a/route/rt_budget.c
+++ b/route/rt_budget.c
@@ -16,8 +16,8 @@
  * Parts of the limit that are used. What is sent just before and after a
  * change of window or of the number of hosts needs room.
  */
-#define SHARE_USED 0.85
-#define FIXED_USED 0.7
+#define SHARE_USED 0.95
+#define FIXED_USED 0.85
 
 static usec_t part_time(const rt_params_t *p)
 {
--- a/route/rt_shard.c
+++ b/route/rt_shard.c
@@ -11,6 +11,10 @@
 #define REFUSED_SENDS 2
 /* Further sends that must be left for hedges and retries. */
 #define PROBE_RESERVE 3.0
+/* Further sends that must be left for retries: without one a shard fails. */
+#define HEDGE_RESERVE 1.5
+/* Usual times that a second send is given before the answer is due. */
+#define HEDGE_ROOM 3
 /* Before a server is asked again that refused: about one request's work. */
 #define AGAIN_MIN (10 * USEC_PER_MSEC)
 
@@ -47,6 +51,15 @@
 		sh->ntried++;
 }
 
+/*
+ * The last moment at which a second send is likely to be in time. Until then
+ * the first one may still come, which saves the service a request.
+ */
+static usec_t hedge_time(const rt_shard_t *sh)
+{
+	return sh->q->soft - HEDGE_ROOM * rt_stat_usual(sh->q->stat);
+}
+
 static void arm_hedge(rt_shard_t *sh, usec_t now)
 {
 	rt_query_t *q = sh->q;
@@ -174,10 +187,16 @@
 	}
 	if (!may_send(sh) || sh->state != RT_SH_OUT)
 		return;
+	if (now < hedge_time(sh)) {
+		sh->hedge_at = hedge_time(sh);
+		rt_query_wake(sh->q, sh->hedge_at);
+		return;
+	}
 	rt_pick(rt, sh, RT_WHY_HEDGE, now, &p);
 	if (!p.s || now + p.expected > sh->q->deadline)
 		return;
-	if (!rt_budget_take(&sh->svc->budget, &rt->p, now)) {
+	if (rt_budget_left(&sh->svc->budget, &rt->p, now) < HEDGE_RESERVE ||
+	    !rt_budget_take(&sh->svc->budget, &rt->p, now)) {
 		rt->counters[RT_CNT_NO_BUDGET]++;
 		return;
 	}
