Tests of the routed path; slow answers no longer stretch the usual time

Cause: test_slow_server (a server turns slow, then well) stayed red: copies to the slow server raised the route's usual time from 20 to 45 ms, so the other server looked twice as fast as it was and the first was never used again. Change: the mean counts an answer as two usual times at most, the quantile takes it as it is; a server without answers is believed to return to the best pace of its service; bytes between data centres count for 8% of the time.

--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,8 @@
 	$(CC) -o $@ $^ $(LIBS)
 
 UNIT = $(wildcard tests/unit_*.c)
-$(BUILD)/unit: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) daemon/job.c $(UNIT))
+$(BUILD)/unit: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) $(ROUTE) $(FLEET) \
+	$(PLATFORM) daemon/job.c daemon/edge_http.c daemon/outside.c $(UNIT))
 	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
 
 # The operators' library.
--- a/daemon/edge_caller.c
+++ b/daemon/edge_caller.c
@@ -455,10 +455,14 @@
 
 void callers_free(edge_t *e)
 {
+	caller_t *c, *next;
+
 	if (!e->callers)
 		return;
 	callers_close_listener(e);
-	while (e->callers->head)
-		caller_free(e->callers->head);
+	for (c = e->callers->head; c; c = next) {
+		next = c->next;
+		caller_free(c);
+	}
 	free(e->callers);
 }
--- a/route/libroute.h
+++ b/route/libroute.h
@@ -203,6 +203,10 @@
 /* Whether it may be tried again after it was slow or failed. */
 bool rt_server_wants_probe(const rt_t *rt, const rt_server_t *s, double best,
 			   usec_t now);
+/* Its time over the usual time, as it is believed by now. */
+double rt_server_pace(const rt_server_t *s, double best, usec_t now);
+/* The best pace of its usable servers; 0 if there are none. */
+double rt_svc_best_pace(const rt_svc_t *svc);
 /* Requests that this host may have out to it. */
 unsigned rt_server_cap(const rt_t *rt, const rt_server_t *s);
 void rt_server_leave(rt_t *rt, rt_server_t *s, rt_why_t why, usec_t now);
--- a/route/rt_pick.c
+++ b/route/rt_pick.c
@@ -11,6 +11,7 @@
 
 #define COLD_FACTOR 1.6 /* a server is so much slower while it warms up */
 #define LOAD_FACTOR 0.7 /* of a full set of own requests in flight */
+#define FAR_FACTOR 1.08 /* bytes between data centres are dear */
 #define NOISE 0.04	/* keeps hosts from choosing alike */
 
 /** How much a server is wanted; the best kind that there is, is used. */
@@ -65,23 +66,25 @@
 	return p;
 }
 
-static double expected(const rt_server_t *s, usec_t usual, usec_t now)
+static double expected(const rt_server_t *s, double best, usec_t usual,
+		       usec_t now)
 {
-	double t = (double)usual * s->pace;
+	double t = (double)usual * rt_server_pace(s, best, now);
 
 	t *= 1 + LOAD_FACTOR * s->inflight / s->slots;
+	if (!s->near)
+		t *= FAR_FACTOR;
 	return now < s->warm_at ? t * COLD_FACTOR : t;
 }
 
 static size_t choose_expected(rt_t *rt, rt_svc_t *svc, const cand_t *v,
 			      size_t n, usec_t usual, usec_t now)
 {
-	double low = 0, t;
+	double pace = rt_svc_best_pace(svc), low = 0, t;
 	size_t best = 0, i;
 
-	(void)svc;
 	for (i = 0; i < n; i++) {
-		t = expected(v[i].s, usual, now);
+		t = expected(v[i].s, pace, usual, now);
 		t *= 1 + NOISE * rng_unit(&rt->rng);
 		if (i == 0 || t < low) {
 			low = t;
@@ -218,24 +221,12 @@
 	p->s = v[policies[rt->p.policy].choose(rt, sh->svc, v, p->candidates,
 					       usual, now)]
 		       .s;
-	p->expected = (usec_t)expected(p->s, usual, now);
-}
-
-static double best_pace(const rt_svc_t *svc)
-{
-	double best = 0;
-	size_t i;
-
-	for (i = 0; i < svc->n; i++)
-		if (rt_server_usable(svc->v[i]) &&
-		    (best == 0 || svc->v[i]->pace < best))
-			best = svc->v[i]->pace;
-	return best;
+	p->expected = (usec_t)expected(p->s, p->s->pace, usual, now);
 }
 
 void rt_pick_probe(rt_t *rt, const rt_shard_t *sh, usec_t now, rt_pick_t *p)
 {
-	double best = best_pace(sh->svc);
+	double best = rt_svc_best_pace(sh->svc);
 	rt_server_t *s;
 	size_t i;
 
@@ -248,6 +239,7 @@
 	}
 	if (!p->s)
 		return;
-	p->expected = (usec_t)expected(p->s, rt_stat_usual(sh->q->stat), now);
+	p->expected = (usec_t)expected(p->s, p->s->pace,
+				       rt_stat_usual(sh->q->stat), now);
 	p->s->probed_at = now;
 }
--- a/route/rt_server.c
+++ b/route/rt_server.c
@@ -10,13 +10,15 @@
 
 #include "libroute.h"
 
-#define PACE_WEIGHT 0.2	  /* of one answer in the pace */
-#define PACE_MAX 6.0	  /* times the usual time; what is longer counts so */
-#define PACE_NEAR 1.0	  /* before the first answer */
-#define PACE_FAR 1.3	  /* the same, in another data centre */
-#define PACE_SLOW 1.8	  /* times the best: it gets probes only */
-#define FAIL_WEIGHT 0.15  /* of one send in the share of failures */
-#define FAIL_TOO_MANY 0.2 /* share of failures to be avoided */
+#define PACE_WEIGHT 0.2 /* of one answer in the pace */
+#define PACE_MAX 6.0	/* times the usual time; what is longer counts so */
+#define PACE_NEAR 1.0	/* before the first answer */
+#define PACE_FAR 1.3	/* the same, in another data centre */
+#define PACE_HALF_LIFE USEC_PER_SEC /* of what is off, without answers */
+#define PACE_NONE 0.01		    /* off by so little is not off */
+#define PACE_SLOW 1.8		    /* times the best: it gets probes only */
+#define FAIL_WEIGHT 0.15	    /* of one send in the share of failures */
+#define FAIL_TOO_MANY 0.2	    /* share of failures to be avoided */
 #define AVOID_MIN (150 * USEC_PER_MSEC)
 #define AVOID_MAX (2 * USEC_PER_SEC)
 /* A server gets some eight probes a second from all hosts together. */
@@ -90,6 +92,36 @@
 				 .failure = true });
 }
 
+static double first_pace(const rt_server_t *s)
+{
+	return s->near ? PACE_NEAR : PACE_FAR;
+}
+
+double rt_svc_best_pace(const rt_svc_t *svc)
+{
+	double best = 0;
+	size_t i;
+
+	for (i = 0; i < svc->n; i++)
+		if (rt_server_usable(svc->v[i]) &&
+		    (best == 0 || svc->v[i]->pace < best))
+			best = svc->v[i]->pace;
+	return best;
+}
+
+double rt_server_pace(const rt_server_t *s, double best, usec_t now)
+{
+	double base = best * first_pace(s), off = s->pace - base;
+	usec_t age = now - s->sampled_at;
+
+	/* What is known to be slow stays so until a probe tells otherwise. */
+	if (s->pace > PACE_SLOW || off <= 0)
+		return s->pace;
+	for (; age >= PACE_HALF_LIFE && off > PACE_NONE; age -= PACE_HALF_LIFE)
+		off /= 2;
+	return base + off;
+}
+
 /* Crossing the line between well and slow is told to neighbours. */
 static void set_pace(rt_t *rt, rt_server_t *s, double pace, usec_t took)
 {
@@ -110,15 +142,16 @@
 	rt_server_t *s = a->server;
 	usec_t took = now - a->sent_at;
 	double ratio = (double)took / (double)rt_stat_usual(a->stat);
-	double weight = PACE_WEIGHT;
+	double weight = PACE_WEIGHT, pace;
 
 	if (ratio > PACE_MAX)
 		ratio = PACE_MAX;
 	if (s->pace > PACE_SLOW && ratio < s->pace)
 		weight = RECOVERY_WEIGHT;
+	pace = rt_server_pace(s, rt_svc_best_pace(s->svc), now);
 	s->sampled_at = now;
 	rt_stat_note(a->stat, took);
-	set_pace(rt, s, s->pace + weight * (ratio - s->pace), took);
+	set_pace(rt, s, pace + weight * (ratio - pace), took);
 }
 
 void rt_told(rt_t *rt, str_t id, double pace, usec_t now)
@@ -270,7 +303,7 @@
 	s->dc = str_dup(e->dc);
 	s->svc = svc;
 	s->near = str_eq(s->dc, rt->dc);
-	s->pace = s->near ? PACE_NEAR : PACE_FAR;
+	s->pace = first_pace(s);
 	if (svc->n == svc->room) {
 		svc->room = svc->room ? svc->room * 2 : 8;
 		svc->v = xrealloc(svc->v, svc->room * sizeof(s));
--- a/route/rt_shard.c
+++ b/route/rt_shard.c
@@ -289,9 +289,7 @@
 	if (sh->nlive)
 		return;
 	sh->state = RT_SH_IDLE;
-	if (!sh->q->route->idempotent && !did_not_run(r)) {
-		rt_shard_fail(rt, sh, sh->why, now);
-	} else if (!may_send(sh)) {
+	if (!may_send(sh) || (!sh->q->route->idempotent && !did_not_run(r))) {
 		rt_shard_fail(rt, sh, sh->why, now);
 	} else if (r == RT_NOT_RUN && !untried_left(sh)) {
 		again(sh, now);
--- a/route/rt_stat.c
+++ b/route/rt_stat.c
@@ -6,7 +6,9 @@
 #define LATE_STEP 16	/* the quantile moves by a 16th of the mean */
 #define FIRST_USUAL (15 * USEC_PER_MSEC) /* until anything was measured */
 #define MIN_SAMPLES 20
-#define OUTLIER 6 /* means: what is longer counts as that */
+/* Means: what is longer counts as that. Slow servers must not make the usual
+ * time of the route look longer. */
+#define OUTLIER 2
 
 usec_t rt_stat_usual(const rt_stat_t *s)
 {
@@ -24,16 +26,15 @@
 
 void rt_stat_note(rt_stat_t *s, usec_t took)
 {
-	usec_t step;
+	usec_t step, part;
 
 	if (s->n == 0) {
 		s->mean = took;
 		s->late = took * 2;
 	}
 	s->n++;
-	if (took > s->mean * OUTLIER)
-		took = s->mean * OUTLIER;
-	s->mean += (took - s->mean) /
+	part = took > s->mean * OUTLIER ? s->mean * OUTLIER : took;
+	s->mean += (part - s->mean) /
 		   (s->n < MEAN_WEIGHT ? (int64_t)s->n : MEAN_WEIGHT);
 	if (s->mean < 1)
 		s->mean = 1;
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -10,5 +10,7 @@
 void unit_wire(void);
 void unit_fleet(void);
 void unit_daemon(void);
+void unit_route(void);
+void unit_outside(void);
 
 #endif
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -15,6 +15,8 @@
 	unit_daemon();
 	unit_wire();
 	unit_fleet();
+	unit_route();
+	unit_outside();
 	unit_walk();
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
--- /dev/null
+++ b/tests/unit_outside.c
@@ -0,0 +1,518 @@
+/** @file unit_outside.c Tests of formats: HTTP, published state, peers. */
+#include <CUnit/CUnit.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+#include "libedge.h"
+#include "unit.h"
+
+#define START (100 * USEC_PER_SEC)
+
+static const outside_t *outside(void)
+{
+	return outside_by_name("platform");
+}
+
+/* Requests as bytes: whole, or with which fault, and what is left over. */
+static void test_http(void)
+{
+	static const struct {
+		const char *bytes;
+		http_fault_t fault;
+		bool done;
+		size_t left;
+		const char *body;
+	} cases[] = {
+		{ "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", 0, true, 0, "" },
+		{ "GET /a HTTP/1.1\r\nHost: h\r\n", 0, false, 0, "" },
+		{ "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET", 0, true,
+		  3, "abc" },
+		{ "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "3\r\nabc\r\n0\r\n\r\nX",
+		  0, true, 1, "abc" },
+		{ "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		  HTTP_FAULT_SYNTAX, false, 0, "" },
+		{ "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+		  "Content-Length: 4\r\n\r\nabcd",
+		  HTTP_FAULT_SYNTAX, false, 0, "" },
+		{ "POST / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc",
+		  HTTP_FAULT_SYNTAX, false, 0, "" },
+		{ "POST / HTTP/1.1\r\nContent-Length: -3\r\n\r\nabc",
+		  HTTP_FAULT_SYNTAX, false, 0, "" },
+		{ "nonsense\r\n\r\n", HTTP_FAULT_SYNTAX, false, 0, "" },
+		{ "POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n",
+		  HTTP_FAULT_BODY_SIZE, false, 0, "" },
+		{ "GET / HTTP/1.1\r\nA: "
+		  "0123456789012345678901234567890123456789"
+		  "0123456789012345678901234567890123456789"
+		  "0123456789012345678901234567890123456789\r\n\r\n",
+		  HTTP_FAULT_HEAD_SIZE, false, 0, "" },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct evbuffer *in = evbuffer_new();
+		http_msg_t m;
+		bool ok;
+
+		http_msg_init(&m, HTTP_REQUEST);
+		m.head_limit = 120;
+		m.body_limit = 50;
+		evbuffer_add(in, cases[i].bytes, strlen(cases[i].bytes));
+		ok = http_msg_feed(&m, in);
+		CU_ASSERT_EQUAL(ok, cases[i].fault == HTTP_FAULT_NONE);
+		CU_ASSERT_EQUAL(m.fault, cases[i].fault);
+		CU_ASSERT_EQUAL(m.done, cases[i].done);
+		CU_ASSERT_STRING_EQUAL(m.body->str, cases[i].body);
+		if (ok)
+			CU_ASSERT_EQUAL(evbuffer_get_length(in), cases[i].left);
+		http_msg_clear(&m);
+		evbuffer_free(in);
+	}
+}
+
+/* The same bytes one by one give the same message. */
+static void test_http_slow(void)
+{
+	static const char bytes[] = "POST /p?q HTTP/1.1\r\nHost: h\r\n"
+				    "X-A: one\r\nContent-Length: 2\r\n\r\nhi";
+	struct evbuffer *in = evbuffer_new();
+	http_msg_t m;
+	size_t i;
+
+	http_msg_init(&m, HTTP_REQUEST);
+	for (i = 0; i < sizeof(bytes) - 1; i++) {
+		CU_ASSERT_FALSE(m.done);
+		evbuffer_add(in, bytes + i, 1);
+		CU_ASSERT(http_msg_feed(&m, in));
+	}
+	CU_ASSERT(m.done);
+	CU_ASSERT(str_eq(http_msg_start(&m), STR("/p?q")));
+	CU_ASSERT(str_eq(http_msg_get(&m, "x-a"), STR("one")));
+	CU_ASSERT_STRING_EQUAL(m.body->str, "hi");
+	http_msg_clear(&m);
+	evbuffer_free(in);
+}
+
+/* An answer without a length ends with its connection, others do not. */
+static void test_http_eof(void)
+{
+	static const struct {
+		const char *bytes;
+		bool whole;
+	} cases[] = {
+		{ "HTTP/1.1 200 OK\r\n\r\nabc", true },
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", false },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "5\r\nabc",
+		  false },
+		{ "HTTP/1.1 200", false },
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", true },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct evbuffer *in = evbuffer_new();
+		http_msg_t m;
+
+		http_msg_init(&m, HTTP_RESPONSE);
+		evbuffer_add(in, cases[i].bytes, strlen(cases[i].bytes));
+		CU_ASSERT(http_msg_feed(&m, in));
+		CU_ASSERT_EQUAL(http_msg_eof(&m), cases[i].whole);
+		http_msg_clear(&m);
+		evbuffer_free(in);
+	}
+}
+
+static void test_hops(void)
+{
+	static const char bytes[] = "GET / HTTP/1.1\r\nHost: h\r\n"
+				    "Connection: close, X-Mine\r\n"
+				    "X-Mine: 1\r\nX-Other: 2\r\n\r\n";
+	static const struct {
+		const char *name;
+		bool hop;
+	} cases[] = {
+		{ "Host", false },	{ "connection", true },
+		{ "x-mine", true },	{ "X-Other", false },
+		{ "Keep-Alive", true }, { "TE", true },
+	};
+	struct evbuffer *in = evbuffer_new();
+	http_msg_t m;
+	size_t i;
+
+	http_msg_init(&m, HTTP_REQUEST);
+	evbuffer_add(in, bytes, sizeof(bytes) - 1);
+	CU_ASSERT(http_msg_feed(&m, in));
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		CU_ASSERT_EQUAL(http_is_hop(&m, str_of(cases[i].name)),
+				cases[i].hop);
+	http_msg_clear(&m);
+	evbuffer_free(in);
+}
+
+static void test_server_entries(void)
+{
+	static const struct {
+		const char *text;
+		bool ok;
+	} cases[] = {
+		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
+		  "\"z\",\"slots\":3,\"state\":\"ready\",\"warmupLeftMs\":0,"
+		  "\"seq\":4,\"born\":17}",
+		  true },
+		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
+		  "\"z\",\"slots\":3,\"state\":\"odd\",\"warmupLeftMs\":0}",
+		  false },
+		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
+		  "\"z\",\"slots\":\"3\",\"state\":\"ready\","
+		  "\"warmupLeftMs\":0}",
+		  false },
+		{ "{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\","
+		  "\"slots\":3,\"state\":\"ready\",\"warmupLeftMs\":0}",
+		  false },
+		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
+		  "\"z\",\"slots\":3,\"state\":\"ready\",\"warmupLeftMs\":0,"
+		  "\"born\":1.5}",
+		  false },
+		{ "{\"service\":7}", false },
+		{ "[]", false },
+		{ "\xff\xfe", false },
+		{ "", false },
+	};
+	char fault[OUTSIDE_FAULT_MAX];
+	arena_t mem = { 0 };
+	rt_entry_t e;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		fault[0] = '\0';
+		CU_ASSERT_EQUAL(outside()->read_server(STR("i-1"),
+						       str_of(cases[i].text),
+						       &e, &mem, fault),
+				cases[i].ok);
+		CU_ASSERT_EQUAL(fault[0] == '\0', cases[i].ok);
+	}
+	outside()->read_server(STR("i-1"), str_of(cases[0].text), &e, &mem,
+			       fault);
+	CU_ASSERT_EQUAL(e.slots, 3);
+	CU_ASSERT_EQUAL(e.incarnation, 17);
+	CU_ASSERT_FALSE(e.draining);
+	arena_free(&mem);
+}
+
+#define LIMITS                                                                 \
+	"\"limits\":{\"maxHeaderBytes\":100,\"maxBodyBytes\":200,"             \
+	"\"headerTimeoutMs\":300,\"idleTimeoutMs\":400}"
+#define SERVICES                                                               \
+	"\"services\":[{\"name\":\"a\",\"maxConnections\":31},"                \
+	"{\"name\":\"b\",\"maxConnections\":31}],"
+#define ROUTE(more)                                                            \
+	"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"H.ex\","        \
+	"\"prefix\":\"/p/\",\"routeType\":\"idempotent\","                     \
+	"\"timeoutMs\":800,\"targetLatencyMs\":200,\"priority\":1," more       \
+	"}]," SERVICES LIMITS "}"
+
+static void test_configs(void)
+{
+	static const struct {
+		const char *text;
+		bool ok;
+		rt_mode_t mode;
+		size_t ntargets;
+	} cases[] = {
+		{ ROUTE("\"service\":\"a\",\"maxAttempts\":2"), true, RT_ONE,
+		  1 },
+		{ ROUTE("\"gather\":[\"a\",\"b\"],\"maxAttempts\":2,"
+			"\"topK\":5,\"oldestVersion\":0.75"),
+		  true, RT_SHARDS, 2 },
+		{ ROUTE("\"backends\":[{\"service\":\"a\",\"weight\":30},"
+			"{\"service\":\"b\",\"weight\":70}]"),
+		  true, RT_ONE, 2 },
+		{ ROUTE("\"service\":\"nowhere\""), false, 0, 0 },
+		{ ROUTE("\"gather\":[\"a\",7],\"topK\":5"), false, 0, 0 },
+		{ ROUTE("\"maxAttempts\":2"), false, 0, 0 },
+		{ "{}", false, 0, 0 },
+		{ "7", false, 0, 0 },
+		{ "", false, 0, 0 },
+	};
+	char fault[OUTSIDE_FAULT_MAX];
+	rt_conf_t *c;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		fault[0] = '\0';
+		c = outside()->read_config(str_of(cases[i].text), fault);
+		CU_ASSERT_EQUAL(c != NULL, cases[i].ok);
+		CU_ASSERT_EQUAL(fault[0] == '\0', cases[i].ok);
+		if (c) {
+			CU_ASSERT_EQUAL(c->version, 7);
+			CU_ASSERT_EQUAL(c->routes[0].mode, cases[i].mode);
+			CU_ASSERT_EQUAL(c->routes[0].ntargets,
+					cases[i].ntargets);
+			CU_ASSERT(str_eq(c->routes[0].host, STR("h.ex")));
+			CU_ASSERT_EQUAL(c->limits.idle_time,
+					400 * USEC_PER_MSEC);
+		}
+		rt_conf_unref(c);
+	}
+}
+
+static void test_items(void)
+{
+	static const struct {
+		const char *text;
+		bool ok;
+		size_t n;
+	} cases[] = {
+		{ "{\"items\":[{\"key\":\"k\",\"value\":\"aGk=\","
+		  "\"revision\":5,\"created\":1,\"lease\":0}],"
+		  "\"hasMore\":true,\"atRev\":9}",
+		  true, 1 },
+		{ "{\"events\":[{\"key\":\"k\",\"revision\":6,"
+		  "\"tombstone\":true}],\"atRev\":9}",
+		  true, 1 },
+		{ "{\"events\":[],\"atRev\":9}", true, 0 },
+		{ "{\"events\":[{\"key\":\"k\"}],\"atRev\":9}", false, 0 },
+		{ "{\"events\":[]}", false, 0 },
+		{ "[]", false, 0 },
+		{ "{\"events\":", false, 0 },
+	};
+	outside_items_t items;
+	arena_t mem = { 0 };
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		CU_ASSERT_EQUAL(outside()->read_items(str_of(cases[i].text),
+						      &items, &mem),
+				cases[i].ok);
+		if (cases[i].ok) {
+			CU_ASSERT_EQUAL(items.n, cases[i].n);
+			CU_ASSERT_EQUAL(items.revision, 9);
+		}
+	}
+	outside()->read_items(str_of(cases[0].text), &items, &mem);
+	CU_ASSERT(str_eq(items.v[0].value, STR("hi")));
+	CU_ASSERT(items.more);
+	arena_free(&mem);
+}
+
+static void on_changed(void *arg, const fleet_item_t *it)
+{
+	int *n = arg;
+
+	*n += it->deleted ? 100 : 1;
+}
+
+/* What comes late or from a stale source never takes back what is known. */
+static void test_state(void)
+{
+	static const struct {
+		fleet_item_t it;
+		int changes;
+	} cases[] = {
+		{ { STR("k"), STR("1"), 5, false }, 1 },
+		{ { STR("k"), STR("0"), 4, false }, 0 },
+		{ { STR("k"), STR("1"), 5, false }, 0 },
+		{ { STR("k"), STR(""), 6, true }, 100 },
+		{ { STR("k"), STR("1"), 5, false }, 0 },
+		{ { STR("k"), STR("2"), 7, false }, 1 },
+		{ { STR("l"), STR("1"), 8, false }, 1 },
+	};
+	int n = 0, before;
+	fleet_state_t *s = fleet_state_new(on_changed, &n);
+	fleet_msg_t m = { .since = 7 };
+	arena_t mem = { 0 };
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		before = n;
+		fleet_state_take(s, &cases[i].it);
+		CU_ASSERT_EQUAL(n - before, cases[i].changes);
+	}
+	fleet_state_reached(s, 8);
+	fleet_state_since(s, &m, &mem);
+	CU_ASSERT_EQUAL(m.nitems, 1);
+	CU_ASSERT_FALSE(m.whole);
+	/* An old list does not delete what was written after it. */
+	n = 0;
+	fleet_state_list_begin(s);
+	fleet_state_list_end(s, 8);
+	CU_ASSERT_EQUAL(n, 100);
+	CU_ASSERT_EQUAL(fleet_state_revision(s), 8);
+	arena_free(&mem);
+	fleet_state_free(s);
+}
+
+/* Messages survive encoding; other bytes are refused, whatever they are. */
+static void test_fleet_wire(void)
+{
+	fleet_item_t items[] = { { STR("k"), STR("v"), 9, false },
+				 { STR("l"), STR(""), 10, true } };
+	fleet_msg_t m = { .kind = FLEET_STATE,
+			  .from = STR("10.0.0.1:1"),
+			  .dc = STR("a"),
+			  .revision = 10,
+			  .age = -1,
+			  .since = 8,
+			  .whole = true,
+			  .ntold = 1,
+			  .items = items,
+			  .nitems = 2 };
+	arena_t mem = { 0 };
+	rng_t rng = { 11 };
+	fleet_msg_t got;
+	size_t sz, cut, i;
+	char *bytes;
+
+	m.told[0] = (fleet_told_t){ STR("10.0.0.2:1"), STR("b"), 77 };
+	bytes = fleet_encode(&m, &sz);
+	CU_ASSERT(fleet_decode(bytes, sz, &got, &mem));
+	CU_ASSERT_EQUAL(got.since, 8);
+	CU_ASSERT(got.whole);
+	CU_ASSERT_EQUAL(got.age, -1);
+	CU_ASSERT_EQUAL(got.nitems, 2);
+	CU_ASSERT(got.items[1].deleted);
+	CU_ASSERT_EQUAL(got.told[0].age, 77);
+	for (cut = 0; cut < sz; cut++)
+		CU_ASSERT_FALSE(fleet_decode(bytes, cut, &got, &mem));
+	for (i = 0; i < 20000; i++) {
+		size_t at = rng_below(&rng, sz);
+		char was = bytes[at];
+
+		bytes[at] = (char)rng_below(&rng, 256);
+		fleet_decode(bytes, sz, &got, &mem);
+		bytes[at] = was;
+		arena_free(&mem);
+	}
+	free(bytes);
+	arena_free(&mem);
+}
+
+#define HOSTS 24
+
+/* One round of greetings among those that run. */
+static void gossip(fleet_t **f, const bool *up, usec_t now)
+{
+	str_t to[8];
+	size_t i, j, k, n;
+	char addr[24];
+
+	for (i = 0; i < HOSTS; i++) {
+		if (!up[i])
+			continue;
+		n = fleet_greet(f[i], to, 8, now);
+		for (j = 0; j < n; j++)
+			for (k = 0; k < HOSTS; k++) {
+				fleet_msg_t m = { .kind = FLEET_HELLO };
+
+				snprintf(addr, sizeof(addr), "10.0.0.%zu:1", k);
+				if (!up[k] || !str_eq(to[j], str_of(addr)))
+					continue;
+				fleet_tell(f[i], &m, 1, now);
+				fleet_heard(f[k], &m, now);
+				m = (fleet_msg_t){ .kind = FLEET_WELCOME };
+				fleet_tell(f[k], &m, 1, now);
+				fleet_heard(f[i], &m, now);
+			}
+	}
+}
+
+static size_t readers(fleet_t **f, const bool *up, usec_t now)
+{
+	size_t n = 0, i;
+
+	for (i = 0; i < HOSTS; i++) {
+		/* A reader's word reaches its neighbours. */
+		fleet_msg_t m = { .kind = FLEET_STATE };
+		size_t j;
+
+		if (!up[i] || !fleet_has_followers(f[i], now))
+			continue;
+		fleet_read(f[i], now);
+		fleet_tell(f[i], &m, 1, now);
+		for (j = 0; j < HOSTS; j++)
+			if (up[j] && j != i)
+				fleet_heard(f[j], &m, now);
+	}
+	for (i = 0; i < HOSTS; i++)
+		n += up[i] && fleet_should_read(f[i], now);
+	return n;
+}
+
+/* Hosts find each other by seeds, agree on few readers, replace those that
+ * die, and keep the fleet's size when they are cut off. */
+static void test_fleet(void)
+{
+	str_t seeds[] = { STR("10.0.0.0:1"), STR("10.0.0.9:1") };
+	fleet_t *f[HOSTS];
+	bool up[HOSTS];
+	usec_t now = START, until;
+	char addr[24];
+	size_t i, n;
+
+	for (i = 0; i < HOSTS; i++) {
+		fleet_params_t p = {
+			.seeds = seeds, .nseeds = 2, .hosts = 100, .seed = i + 1
+		};
+
+		snprintf(addr, sizeof(addr), "10.0.0.%zu:1", i);
+		p.addr = str_of(addr);
+		p.dc = str_of(i % 2 ? "a" : "b");
+		f[i] = fleet_new(&p, now);
+		up[i] = true;
+		CU_ASSERT_EQUAL(fleet_hosts(f[i], now), 100);
+	}
+	for (until = now + 15 * USEC_PER_SEC; now < until;
+	     now += 100 * USEC_PER_MSEC) {
+		gossip(f, up, now);
+		n = readers(f, up, now);
+	}
+	CU_ASSERT_EQUAL(n, 4);
+	for (i = 0; i < HOSTS; i++) {
+		CU_ASSERT_EQUAL(fleet_alive(f[i], now), HOSTS);
+		CU_ASSERT_EQUAL(fleet_hosts(f[i], now), HOSTS + HOSTS / 8);
+		/* Both readers of a data centre die at once. */
+		if (fleet_has_followers(f[i], now))
+			up[i] = false;
+	}
+	for (until = now + 15 * USEC_PER_SEC; now < until;
+	     now += 100 * USEC_PER_MSEC) {
+		gossip(f, up, now);
+		n = readers(f, up, now);
+		CU_ASSERT(n > 0 || now < until - 12 * USEC_PER_SEC);
+	}
+	CU_ASSERT_EQUAL(n, 4);
+	/* Cut off: it reckons with the others' shares for a minute. */
+	now += 30 * USEC_PER_SEC;
+	CU_ASSERT_EQUAL(fleet_alive(f[1], now), 1);
+	CU_ASSERT(fleet_hosts(f[1], now) >= HOSTS);
+	for (i = 0; i < HOSTS; i++)
+		fleet_free(f[i]);
+}
+
+void unit_outside(void)
+{
+	static const struct {
+		const char *name;
+		CU_TestFunc fn;
+	} tests[] = {
+		{ "requests as bytes", test_http },
+		{ "bytes one by one", test_http_slow },
+		{ "answers that end with the connection", test_http_eof },
+		{ "header lines of one connection", test_hops },
+		{ "entries of servers", test_server_entries },
+		{ "configurations", test_configs },
+		{ "lists and changes", test_items },
+		{ "state only goes forward", test_state },
+		{ "messages of the fleet", test_fleet_wire },
+		{ "members and readers", test_fleet },
+	};
+	CU_pSuite s = CU_add_suite("outside", NULL, NULL);
+	size_t i;
+
+	for (i = 0; i < sizeof(tests) / sizeof(tests[0]); i++)
+		CU_add_test(s, tests[i].name, tests[i].fn);
+}
