Process tests of the routed path against a stand-in of store, servers, callers

13 tests with a daemon as a process: each of 10 faults of a server on routes that may repeat and that run once, smuggled and oversized requests, requests sent ahead, callers that leave, configurations and servers that come and go, the store away, planned stop, reload, refusals.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
 
-PROGRAMS = geraniumslipd standin-upstream standin-platform scenario \
+PROGRAMS = geraniumslipd standin-upstream standin-platform scenario edge-test \
 	experiment spread bench unit deploy-marea-viva deploy-balapan
 ifneq ($(CTL),)
 PROGRAMS += geraniumslip
@@ -57,6 +57,12 @@
 $(BUILD)/scenario: $(call obj,$(BASE) $(CONF) $(LAB) $(SCENARIO))
 	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
 
+WORLD = $(wildcard standin/world*.c)
+$(BUILD)/edge-test: $(call obj,$(BASE) $(ROUTE) $(FLEET) wire/wire_scan.c \
+	$(PLATFORM) $(WORLD) standin/http.c daemon/edge_http.c \
+	daemon/outside.c daemon/listen.c tests/edge_main.c)
+	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
+
 PLAY = $(filter-out tests/scenario_main.c,$(SCENARIO))
 $(BUILD)/experiment: $(call obj,$(BASE) $(CONF) $(LAB) $(PLAY) standin/experiment.c)
 	$(CC) -o $@ $^ $(LIBS)
--- /dev/null
+++ b/standin/world.c
@@ -0,0 +1,511 @@
+/** @file world.c Store, callers and daemons of the routed path's tests. */
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "libworld.h"
+#include "standin.h"
+
+#define WATCH_MAX_MS 20000
+#define STORE_DELAY_MS 1
+
+typedef struct item {
+	char *key;
+	char *value; /* NULL: deleted */
+	uint64_t revision;
+} item_t;
+
+typedef struct watch {
+	world_t *w;
+	struct bufferevent *bev;
+	uint64_t after;
+	struct event *timer;
+} watch_t;
+
+void world_pass(world_t *w, unsigned ms)
+{
+	usec_t until = standin_now() + ms * USEC_PER_MSEC, left;
+
+	while ((left = until - standin_now()) > 0) {
+		struct timeval tv = { left / USEC_PER_SEC,
+				      left % USEC_PER_SEC };
+
+		event_base_loopexit(w->base, &tv);
+		event_base_dispatch(w->base);
+	}
+}
+
+struct evconnlistener *world_listen(world_t *w, evconnlistener_cb fn, void *arg,
+				    char addr[32])
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	socklen_t sz = sizeof(sa);
+	struct evconnlistener *l;
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	l = evconnlistener_new_bind(w->base, fn, arg,
+				    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+				    -1, (struct sockaddr *)&sa, sizeof(sa));
+	if (!l)
+		return NULL;
+	getsockname(evconnlistener_get_fd(l), (struct sockaddr *)&sa, &sz);
+	g_snprintf(addr, 32, "127.0.0.1:%u", ntohs(sa.sin_port));
+	return l;
+}
+
+static void item_free(gpointer data)
+{
+	item_t *it = data;
+
+	g_free(it->key);
+	g_free(it->value);
+	g_free(it);
+}
+
+static void append_item(GString *out, const item_t *it)
+{
+	char *text;
+
+	if (!it->value) {
+		g_string_append_printf(out,
+				       "{\"key\":\"%s\",\"revision\":%llu,"
+				       "\"tombstone\":true}",
+				       it->key,
+				       (unsigned long long)it->revision);
+		return;
+	}
+	text = g_base64_encode((const guchar *)it->value, strlen(it->value));
+	g_string_append_printf(out,
+			       "{\"key\":\"%s\",\"value\":\"%s\","
+			       "\"revision\":%llu,\"created\":1,\"lease\":0}",
+			       it->key, text, (unsigned long long)it->revision);
+	g_free(text);
+}
+
+static void reply_json(struct bufferevent *bev, unsigned status,
+		       const GString *body)
+{
+	evbuffer_add_printf(bufferevent_get_output(bev),
+			    "HTTP/1.1 %u X\r\nContent-Type: application/json"
+			    "\r\nContent-Length: %zu\r\n\r\n",
+			    status, body->len);
+	evbuffer_add(bufferevent_get_output(bev), body->str, body->len);
+}
+
+static void reply_list(world_t *w, struct bufferevent *bev)
+{
+	GString *out = g_string_new("{\"items\":[");
+	GHashTableIter it;
+	gpointer v;
+	bool first = true;
+
+	g_hash_table_iter_init(&it, w->items);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		if (!((item_t *)v)->value)
+			continue;
+		g_string_append(out, first ? "" : ",");
+		append_item(out, v);
+		first = false;
+	}
+	g_string_append_printf(out, "],\"hasMore\":false,\"atRev\":%llu}",
+			       (unsigned long long)w->revision);
+	reply_json(bev, 200, out);
+	g_string_free(out, TRUE);
+}
+
+/* Answers a watch with what changed; false if nothing did. */
+static bool reply_changes(world_t *w, struct bufferevent *bev, uint64_t after,
+			  bool always)
+{
+	GString *out = g_string_new("{\"events\":[");
+	bool first = true;
+	guint i;
+
+	for (i = 0; i < w->changes->len; i++) {
+		const item_t *it = w->changes->pdata[i];
+
+		if (it->revision <= after)
+			continue;
+		g_string_append(out, first ? "" : ",");
+		append_item(out, it);
+		first = false;
+	}
+	g_string_append_printf(out, "],\"atRev\":%llu}",
+			       (unsigned long long)w->revision);
+	if (!first || always)
+		reply_json(bev, 200, out);
+	g_string_free(out, TRUE);
+	return !first || always;
+}
+
+static void watch_end(watch_t *x)
+{
+	g_ptr_array_remove(x->w->waiting, x);
+	event_free(x->timer);
+	g_free(x);
+}
+
+static void on_watch_over(evutil_socket_t fd, short what, void *arg)
+{
+	watch_t *x = arg;
+
+	(void)fd;
+	(void)what;
+	reply_changes(x->w, x->bev, x->after, true);
+	watch_end(x);
+}
+
+static void start_watch(world_t *w, struct bufferevent *bev, uint64_t after,
+			unsigned ms)
+{
+	struct timeval tv = { ms / 1000, ms % 1000 * 1000 };
+	watch_t *x = g_new0(watch_t, 1);
+
+	x->w = w;
+	x->bev = bev;
+	x->after = after;
+	x->timer = evtimer_new(w->base, on_watch_over, x);
+	evtimer_add(x->timer, &tv);
+	g_ptr_array_add(w->waiting, x);
+}
+
+static uint64_t argument(str_t target, const char *name)
+{
+	char text[OUTSIDE_PATH_MAX];
+	const char *at;
+
+	str_copy(text, sizeof(text), target);
+	at = strstr(text, name);
+	return at ? strtoull(at + strlen(name), NULL, 10) : 0;
+}
+
+static void store_request(world_conn_t *c)
+{
+	str_t target = http_msg_start(&c->msg);
+	world_t *w = c->w;
+	uint64_t after = argument(target, "after=");
+	uint64_t ms = argument(target, "waitMs=");
+	GString *none;
+
+	w->store_calls++;
+	if (w->store_down) {
+		none = g_string_new("{\"error\":\"down\"}");
+		reply_json(c->bev, 503, none);
+		g_string_free(none, TRUE);
+	} else if (memcmp(target.s, "/kv-range", 9) == 0) {
+		reply_list(w, c->bev);
+	} else if (!reply_changes(w, c->bev, after, false)) {
+		start_watch(w, c->bev, after,
+			    ms > WATCH_MAX_MS ? WATCH_MAX_MS : (unsigned)ms);
+	}
+}
+
+static void forget_watches(world_t *w, const struct bufferevent *bev)
+{
+	guint i;
+
+	for (i = w->waiting->len; i > 0; i--) {
+		watch_t *x = w->waiting->pdata[i - 1];
+
+		if (x->bev == bev)
+			watch_end(x);
+	}
+}
+
+static void store_closed(world_conn_t *c)
+{
+	forget_watches(c->w, c->bev);
+}
+
+static void on_store_accept(struct evconnlistener *l, evutil_socket_t fd,
+			    struct sockaddr *sa, int sz, void *arg)
+{
+	(void)l;
+	(void)sa;
+	(void)sz;
+	world_conn_new(arg, NULL, fd, store_request, store_closed);
+}
+
+void world_put(world_t *w, const char *key, const char *value)
+{
+	item_t *it = g_new0(item_t, 1);
+	guint i;
+
+	it->key = g_strdup(key);
+	it->value = g_strdup(value);
+	it->revision = ++w->revision;
+	g_ptr_array_add(w->changes, it);
+	g_hash_table_replace(w->items, it->key, it);
+	for (i = w->waiting->len; i > 0; i--) {
+		watch_t *x = w->waiting->pdata[i - 1];
+
+		if (reply_changes(w, x->bev, x->after, false))
+			watch_end(x);
+	}
+}
+
+world_t *world_new(void)
+{
+	world_t *w = g_new0(world_t, 1);
+
+	signal(SIGPIPE, SIG_IGN);
+	w->base = event_base_new();
+	w->dir = g_dir_make_tmp("geraniumslip-XXXXXX", NULL);
+	w->items = g_hash_table_new(g_str_hash, g_str_equal);
+	w->changes = g_ptr_array_new_with_free_func(item_free);
+	w->waiting = g_ptr_array_new();
+	w->servers = g_ptr_array_new();
+	w->daemons = g_ptr_array_new();
+	w->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	w->revision = 100;
+	w->store_listener = world_listen(w, on_store_accept, w, w->store_addr);
+	return w;
+}
+
+static unsigned free_port(void)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	socklen_t sz = sizeof(sa);
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, (struct sockaddr *)&sa, sizeof(sa));
+	getsockname(fd, (struct sockaddr *)&sa, &sz);
+	close(fd);
+	return ntohs(sa.sin_port);
+}
+
+static void write_settings(world_t *w, world_daemon_t *d, const char *dc)
+{
+	GString *seeds = g_string_new("");
+	char *text;
+	guint i;
+
+	for (i = 0; i < w->daemons->len; i++)
+		g_string_append_printf(
+			seeds, "%s\"%s\"", i ? "," : "",
+			((world_daemon_t *)w->daemons->pdata[i])->peer);
+	text = g_strdup_printf(
+		"{\"name\":\"%s\",\"data_centre\":\"%s\",\"listen\":\"%s\","
+		"\"ready\":\"%s\",\"admin\":\"%s\",\"peer\":\"%s\","
+		"\"seeds\":[%s],\"outside\":\"platform\",\"registry\":\"%s\","
+		"\"log_level\":\"debug\",\"stop_grace_ms\":600,"
+		"\"stop_limit_ms\":3000,\"extra_share\":0.2,"
+		"\"extra_fixed\":1000,\"fleet\":3}",
+		d->name, dc, d->listen, d->ready, d->admin, d->peer, seeds->str,
+		w->store_addr);
+	g_file_set_contents(d->settings, text, -1, NULL);
+	g_free(text);
+	g_string_free(seeds, TRUE);
+}
+
+static const char *daemon_path(void)
+{
+	static char path[512];
+	const char *dir = g_getenv("GERANIUMSLIP_BIN");
+
+	g_snprintf(path, sizeof(path), "%s/geraniumslipd", dir ? dir : "build");
+	return path;
+}
+
+static void start_process(world_daemon_t *d)
+{
+	int fd;
+
+	d->pid = fork();
+	if (d->pid)
+		return;
+	fd = open(d->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+	dup2(fd, STDOUT_FILENO);
+	dup2(fd, STDERR_FILENO);
+	execl(daemon_path(), daemon_path(), "--settings", d->settings, NULL);
+	_exit(127);
+}
+
+world_daemon_t *world_daemon(world_t *w, const char *dc)
+{
+	world_daemon_t *d = g_new0(world_daemon_t, 1);
+	char *addrs[] = { d->listen, d->ready, d->admin, d->peer };
+	size_t i;
+
+	g_snprintf(d->name, sizeof(d->name), "d%u", w->daemons->len);
+	for (i = 0; i < 4; i++)
+		g_snprintf(addrs[i], 32, "127.0.0.1:%u", free_port());
+	d->settings = g_strdup_printf("%s/%s.json", w->dir, d->name);
+	d->log = g_strdup_printf("%s/%s.log", w->dir, d->name);
+	write_settings(w, d, dc);
+	g_ptr_array_add(w->daemons, d);
+	start_process(d);
+	return d;
+}
+
+bool world_wait_ready(world_t *w, world_daemon_t *d, bool ready, unsigned ms)
+{
+	usec_t until = standin_now() + ms * USEC_PER_MSEC;
+	world_answer_t a;
+
+	do {
+		world_ask(w, d->ready, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n",
+			  500, &a);
+		g_string_free(a.body, TRUE);
+		if ((a.status == 200) == ready)
+			return true;
+		world_pass(w, 20);
+	} while (standin_now() < until);
+	return false;
+}
+
+unsigned world_runs(const world_t *w, const char *id)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(w->runs, id));
+}
+
+/* A caller's connection that waits for one answer. */
+typedef struct waiter {
+	world_t *w;
+	http_msg_t msg;
+	bool over;
+	bool closed;
+} waiter_t;
+
+static void on_answer(struct bufferevent *bev, void *arg)
+{
+	waiter_t *x = arg;
+
+	while (!x->over) {
+		if (!http_msg_feed(&x->msg, bufferevent_get_input(bev)))
+			x->over = true;
+		else if (!x->msg.done)
+			return;
+		else if (x->msg.parser.status_code >= 200)
+			x->over = true;
+		else
+			http_msg_reset(&x->msg, HTTP_RESPONSE);
+	}
+	event_base_loopbreak(x->w->base);
+}
+
+static void on_answer_event(struct bufferevent *bev, short what, void *arg)
+{
+	waiter_t *x = arg;
+
+	(void)bev;
+	if (what & BEV_EVENT_CONNECTED)
+		return;
+	x->closed = true;
+	x->over = true;
+	event_base_loopbreak(x->w->base);
+}
+
+struct bufferevent *world_connect(world_t *w, const char *addr)
+{
+	struct sockaddr_in sa = listen_address(addr);
+	struct bufferevent *bev =
+		bufferevent_socket_new(w->base, -1, BEV_OPT_CLOSE_ON_FREE);
+
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+	bufferevent_socket_connect(bev, (struct sockaddr *)&sa, sizeof(sa));
+	return bev;
+}
+
+static void fill_answer(world_answer_t *a, const waiter_t *x)
+{
+	const outside_t *o = outside_by_name("platform");
+	char text[32];
+
+	a->closed = x->closed;
+	if (!x->msg.done)
+		return;
+	a->status = x->msg.parser.status_code;
+	str_copy(a->stamps, sizeof(a->stamps),
+		 http_msg_get(&x->msg, o->headers[OUTSIDE_STAMPS]));
+	str_copy(text, sizeof(text),
+		 http_msg_get(&x->msg, o->headers[OUTSIDE_MISSING]));
+	a->missing = (unsigned)strtoul(text, NULL, 10);
+	str_copy(a->retry_after, sizeof(a->retry_after),
+		 http_msg_get(&x->msg, o->headers[OUTSIDE_RETRY_AFTER]));
+	g_string_append_len(a->body, x->msg.body->str,
+			    (gssize)x->msg.body->len);
+}
+
+void world_ask_on(world_t *w, struct bufferevent *bev, const char *bytes,
+		  unsigned ms, world_answer_t *a)
+{
+	usec_t began = standin_now(), left;
+	waiter_t x = { .w = w };
+
+	*a = (world_answer_t){ .body = g_string_new(NULL) };
+	http_msg_init(&x.msg, HTTP_RESPONSE);
+	bufferevent_setcb(bev, on_answer, NULL, on_answer_event, &x);
+	evbuffer_add(bufferevent_get_output(bev), bytes, strlen(bytes));
+	/* What came before is read again by this answer. */
+	if (evbuffer_get_length(bufferevent_get_input(bev)))
+		on_answer(bev, &x);
+	while (!x.over &&
+	       (left = began + ms * USEC_PER_MSEC - standin_now()) > 0) {
+		struct timeval tv = { left / USEC_PER_SEC,
+				      left % USEC_PER_SEC };
+
+		event_base_loopexit(w->base, &tv);
+		event_base_dispatch(w->base);
+	}
+	a->took = standin_now() - began;
+	fill_answer(a, &x);
+	bufferevent_setcb(bev, NULL, NULL, NULL, NULL);
+	http_msg_clear(&x.msg);
+}
+
+void world_ask(world_t *w, const char *addr, const char *bytes, unsigned ms,
+	       world_answer_t *a)
+{
+	struct bufferevent *bev = world_connect(w, addr);
+
+	world_ask_on(w, bev, bytes, ms, a);
+	bufferevent_free(bev);
+}
+
+static void daemon_free(world_daemon_t *d)
+{
+	if (d->pid > 0) {
+		kill(d->pid, SIGKILL);
+		waitpid(d->pid, NULL, 0);
+	}
+	g_unlink(d->settings);
+	g_unlink(d->log);
+	g_free(d->settings);
+	g_free(d->log);
+	g_free(d);
+}
+
+void world_free(world_t *w)
+{
+	guint i;
+
+	for (i = 0; i < w->daemons->len; i++)
+		daemon_free(w->daemons->pdata[i]);
+	/* Lets connections of ended daemons close. */
+	world_pass(w, 50);
+	for (i = 0; i < w->servers->len; i++)
+		world_server_free(w->servers->pdata[i]);
+	evconnlistener_free(w->store_listener);
+	while (w->waiting->len)
+		watch_end(w->waiting->pdata[0]);
+	g_ptr_array_free(w->waiting, TRUE);
+	g_hash_table_destroy(w->items);
+	g_ptr_array_free(w->changes, TRUE);
+	g_ptr_array_free(w->servers, TRUE);
+	g_ptr_array_free(w->daemons, TRUE);
+	g_hash_table_destroy(w->runs);
+	g_rmdir(w->dir);
+	g_free(w->dir);
+	event_base_free(w->base);
+	g_free(w);
+}
--- /dev/null
+++ b/standin/world.h
@@ -0,0 +1,115 @@
+/**
+ * @file world.h
+ * Stand-ins for what routed requests meet: a store of published state,
+ * servers with faults, callers, all in one loop on loopback; and daemons as
+ * processes. Not installed.
+ */
+#ifndef WORLD_H
+#define WORLD_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <sys/types.h>
+
+#include "base.h"
+#include "libedge.h"
+
+/** What a server does with its next requests. */
+typedef enum fault {
+	FAULT_NONE,
+	FAULT_NO_LENGTH,   /**< answers without a length, then closes */
+	FAULT_CUT,	   /**< the same, but resets before the end */
+	FAULT_EXTRA,	   /**< bytes follow the answer */
+	FAULT_STRAY,	   /**< answers another request, then this one */
+	FAULT_LATE_SECOND, /**< a second answer follows some time later */
+	FAULT_RESET,	   /**< runs it and resets the connection */
+	FAULT_SILENT,	   /**< runs it and never answers */
+	FAULT_REFUSE,	   /**< says that it did not run it */
+	FAULT_ERROR,	   /**< runs it and fails */
+	FAULT_OTHER,	   /**< says that it is another server */
+	FAULT_MAX,
+} fault_t;
+
+/** A server of a service. */
+typedef struct world_server {
+	struct world *w;
+	char id[24];
+	char service[24];
+	char dc[24];
+	char addr[32];
+	struct evconnlistener *listener;
+	fault_t fault;
+	unsigned nfaults; /**< requests that meet the fault */
+	unsigned work_ms;
+	unsigned runs;
+	unsigned broken; /**< connections that callers closed during work */
+} world_server_t;
+
+/** A daemon that runs as a process. */
+typedef struct world_daemon {
+	pid_t pid;
+	char name[24];
+	char listen[32];
+	char ready[32];
+	char admin[32];
+	char peer[32];
+	char *settings; /**< path of the file */
+	char *log;	/**< path of its output */
+} world_daemon_t;
+
+/** Everything of one test. */
+typedef struct world {
+	struct event_base *base;
+	char *dir;
+	char store_addr[32];
+	struct evconnlistener *store_listener;
+	GHashTable *items;  /**< key to item */
+	GPtrArray *changes; /**< item, in order */
+	GPtrArray *waiting; /**< watches that wait */
+	uint64_t revision;
+	bool store_down;
+	unsigned store_calls;
+	GPtrArray *servers; /**< world_server_t */
+	GHashTable *runs;   /**< id of a request to how often it ran */
+	GPtrArray *daemons; /**< world_daemon_t */
+} world_t;
+
+/** An answer as a caller saw it. */
+typedef struct world_answer {
+	unsigned status; /**< 0: no whole answer came */
+	bool closed;	 /**< the connection ended */
+	char stamps[512];
+	unsigned missing;
+	char retry_after[16];
+	GString *body;
+	usec_t took;
+} world_answer_t;
+
+/** Starts a store without anything in it. */
+world_t *world_new(void);
+/** Ends daemons that still run and frees everything. */
+void world_free(world_t *w);
+/** Writes a key; NULL deletes it. */
+void world_put(world_t *w, const char *key, const char *value);
+/** Starts a server and publishes it. */
+world_server_t *world_server(world_t *w, const char *service, const char *dc);
+/** Publishes a server again with a state, or deletes its entry with NULL. */
+void world_publish(world_server_t *s, const char *state);
+/** Starts a daemon; seeds are those that run. */
+world_daemon_t *world_daemon(world_t *w, const char *dc);
+/** Waits until it is ready, or not; false after two seconds more. */
+bool world_wait_ready(world_t *w, world_daemon_t *d, bool ready, unsigned ms);
+/** Lets the loop run. */
+void world_pass(world_t *w, unsigned ms);
+/** A request on a connection of its own, or on one that is kept. */
+void world_ask(world_t *w, const char *addr, const char *bytes, unsigned ms,
+	       world_answer_t *a);
+/** Opens a connection that the test keeps. */
+struct bufferevent *world_connect(world_t *w, const char *addr);
+/** Sends on it and reads one answer. */
+void world_ask_on(world_t *w, struct bufferevent *bev, const char *bytes,
+		  unsigned ms, world_answer_t *a);
+/** How often a request with an id ran. */
+unsigned world_runs(const world_t *w, const char *id);
+
+#endif
--- /dev/null
+++ b/standin/world_server.c
@@ -0,0 +1,295 @@
+/** @file world_server.c Servers with faults, and connections to stand-ins. */
+#include <event2/listener.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "libworld.h"
+
+#define LATE_MS 60 /* of a second answer */
+#define RECORDS 3  /* of 16 bytes in each part */
+
+static void on_read(struct bufferevent *bev, void *arg)
+{
+	world_conn_t *c = arg;
+
+	if (c->working)
+		return;
+	if (!http_msg_feed(&c->msg, bufferevent_get_input(bev))) {
+		world_conn_free(c, true);
+	} else if (c->msg.done) {
+		c->working = true;
+		c->on_request(c);
+		if (!c->server)
+			world_conn_next(c);
+	}
+}
+
+static void on_event(struct bufferevent *bev, short what, void *arg)
+{
+	world_conn_t *c = arg;
+
+	(void)bev;
+	(void)what;
+	if (c->server && c->working)
+		c->server->broken++;
+	world_conn_free(c, false);
+}
+
+void world_conn_next(world_conn_t *c)
+{
+	c->working = false;
+	http_msg_reset(&c->msg, HTTP_REQUEST);
+	if (evbuffer_get_length(bufferevent_get_input(c->bev)))
+		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+void world_conn_free(world_conn_t *c, bool reset)
+{
+	struct linger now = { 1, 0 };
+
+	if (c->on_closed)
+		c->on_closed(c);
+	if (reset)
+		setsockopt(bufferevent_getfd(c->bev), SOL_SOCKET, SO_LINGER,
+			   &now, sizeof(now));
+	if (c->timer)
+		event_free(c->timer);
+	bufferevent_free(c->bev);
+	http_msg_clear(&c->msg);
+	g_free(c);
+}
+
+void world_conn_new(world_t *w, world_server_t *s, int fd,
+		    void (*on_request)(world_conn_t *),
+		    void (*on_closed)(world_conn_t *))
+{
+	world_conn_t *c = g_new0(world_conn_t, 1);
+
+	c->w = w;
+	c->server = s;
+	c->on_request = on_request;
+	c->on_closed = on_closed;
+	http_msg_init(&c->msg, HTTP_REQUEST);
+	c->bev = bufferevent_socket_new(w->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(c->bev, on_read, NULL, on_event, c);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+}
+
+static void count_run(world_conn_t *c, const char *id)
+{
+	GHashTable *runs = c->w->runs;
+	guint n = GPOINTER_TO_UINT(g_hash_table_lookup(runs, id));
+
+	c->server->runs++;
+	g_hash_table_replace(runs, g_strdup(id), GUINT_TO_POINTER(n + 1));
+}
+
+/* Records that differ by server, in no order. */
+static void append_body(GString *out, const world_server_t *s)
+{
+	static const char digits[RECORDS] = { '2', '9', '5' };
+	size_t i;
+
+	for (i = 0; i < RECORDS; i++)
+		g_string_append_printf(out, "%c%-15.15s", digits[i], s->id);
+}
+
+static void append_answer(GString *out, const world_server_t *s, const char *id,
+			  unsigned status, bool length)
+{
+	GString *body = g_string_new(NULL);
+
+	append_body(body, s);
+	g_string_append_printf(out,
+			       "HTTP/1.1 %u X\r\nRequest-Id: %s\r\n"
+			       "Server-Stamp: %s.%s\r\n",
+			       status, id, s->id, id);
+	if (length)
+		g_string_append_printf(out, "Content-Length: %zu\r\n",
+				       body->len);
+	g_string_append(out, "\r\n");
+	g_string_append_len(out, body->str, (gssize)body->len);
+	g_string_free(body, TRUE);
+}
+
+static void write_text(world_conn_t *c, const GString *text)
+{
+	evbuffer_add(bufferevent_get_output(c->bev), text->str, text->len);
+}
+
+static void on_late(evutil_socket_t fd, short what, void *arg)
+{
+	world_conn_t *c = arg;
+	GString *out = g_string_new(NULL);
+
+	(void)fd;
+	(void)what;
+	append_answer(out, c->server, "late", 200, true);
+	write_text(c, out);
+	g_string_free(out, TRUE);
+}
+
+static void set_timer(world_conn_t *c, unsigned ms, event_callback_fn fn)
+{
+	struct timeval tv = { ms / 1000, ms % 1000 * 1000 };
+
+	if (c->timer)
+		event_free(c->timer);
+	c->timer = evtimer_new(c->w->base, fn, c);
+	evtimer_add(c->timer, &tv);
+}
+
+/* What each fault writes; true if the connection goes on. */
+static bool write_fault(world_conn_t *c, fault_t f, const char *id,
+			GString *out)
+{
+	switch (f) {
+	case FAULT_NO_LENGTH:
+	case FAULT_CUT:
+		append_answer(out, c->server, id, 200, false);
+		return false;
+	case FAULT_EXTRA:
+		append_answer(out, c->server, id, 200, true);
+		g_string_append(out, "HTTP/1.1 200 X\r\nContent-Length: 1");
+		break;
+	case FAULT_STRAY:
+		append_answer(out, c->server, "another", 200, true);
+		append_answer(out, c->server, id, 200, true);
+		break;
+	case FAULT_REFUSE:
+		g_string_append_printf(out,
+				       "HTTP/1.1 503 X\r\nRequest-Id: %s\r\n"
+				       "Not-Executed: 1\r\n"
+				       "Content-Length: 0\r\n\r\n",
+				       id);
+		break;
+	case FAULT_OTHER:
+		g_string_append_printf(out,
+				       "HTTP/1.1 421 X\r\nRequest-Id: %s\r\n"
+				       "Content-Length: 0\r\n\r\n",
+				       id);
+		break;
+	case FAULT_ERROR:
+		append_answer(out, c->server, id, 500, true);
+		break;
+	default:
+		append_answer(out, c->server, id, 200, true);
+		break;
+	}
+	return true;
+}
+
+static fault_t next_fault(world_server_t *s)
+{
+	if (s->nfaults == 0)
+		return FAULT_NONE;
+	s->nfaults--;
+	return s->fault;
+}
+
+static void on_written(struct bufferevent *bev, void *arg)
+{
+	(void)bev;
+	world_conn_free(arg, false);
+}
+
+static void on_written_cut(struct bufferevent *bev, void *arg)
+{
+	(void)bev;
+	world_conn_free(arg, true);
+}
+
+static void answer(world_conn_t *c)
+{
+	str_t rid = http_msg_get(&c->msg, "Request-Id");
+	fault_t f = next_fault(c->server);
+	GString *out = g_string_new(NULL);
+	char id[64];
+	bool keep;
+
+	str_copy(id, sizeof(id), rid);
+	if (f != FAULT_REFUSE && f != FAULT_OTHER)
+		count_run(c, id);
+	if (f == FAULT_SILENT)
+		goto out;
+	if (f == FAULT_RESET) {
+		world_conn_free(c, true);
+		goto out;
+	}
+	keep = write_fault(c, f, id, out);
+	write_text(c, out);
+	if (f == FAULT_LATE_SECOND)
+		set_timer(c, LATE_MS, on_late);
+	if (keep) {
+		world_conn_next(c);
+	} else {
+		bufferevent_setcb(c->bev, NULL,
+				  f == FAULT_CUT ? on_written_cut : on_written,
+				  on_event, c);
+	}
+out:
+	g_string_free(out, TRUE);
+}
+
+static void on_work_done(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	answer(arg);
+}
+
+static void server_request(world_conn_t *c)
+{
+	if (c->server->work_ms)
+		set_timer(c, c->server->work_ms, on_work_done);
+	else
+		answer(c);
+}
+
+static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
+		      struct sockaddr *sa, int sz, void *arg)
+{
+	world_server_t *s = arg;
+
+	(void)l;
+	(void)sa;
+	(void)sz;
+	world_conn_new(s->w, s, fd, server_request, NULL);
+}
+
+void world_publish(world_server_t *s, const char *state)
+{
+	char *key = g_strdup_printf("servers/%s", s->id);
+	char *value = NULL;
+
+	if (state)
+		value = g_strdup_printf(
+			"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":"
+			"\"%s\",\"version\":\"v1\",\"slots\":3,\"state\":"
+			"\"%s\",\"warmupLeftMs\":0,\"seq\":1,\"born\":5}",
+			s->service, s->addr, s->dc, state);
+	world_put(s->w, key, value);
+	g_free(value);
+	g_free(key);
+}
+
+world_server_t *world_server(world_t *w, const char *service, const char *dc)
+{
+	world_server_t *s = g_new0(world_server_t, 1);
+
+	s->w = w;
+	g_snprintf(s->id, sizeof(s->id), "i-%s-%u", service, w->servers->len);
+	g_snprintf(s->service, sizeof(s->service), "%s", service);
+	g_snprintf(s->dc, sizeof(s->dc), "%s", dc);
+	s->listener = world_listen(w, on_accept, s, s->addr);
+	g_ptr_array_add(w->servers, s);
+	world_publish(s, "ready");
+	return s;
+}
+
+void world_server_free(world_server_t *s)
+{
+	evconnlistener_free(s->listener);
+	g_free(s);
+}
--- /dev/null
+++ b/tests/edge_main.c
@@ -0,0 +1,447 @@
+/**
+ * @file edge_main.c
+ * Tests of the routed path with a daemon as a process, against stand-ins.
+ */
+#include <CUnit/Basic.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "standin.h"
+#include "world.h"
+
+#define READY_MS 3000
+#define ASK_MS 3000
+
+/* Routes of host h: /all/ over a and b, /one/ and /once/ to a. */
+#define CONF_HEAD "\"routes\":["
+#define CONF_ALL                                                               \
+	"{\"name\":\"all\",\"host\":\"h\",\"prefix\":\"/all/\","               \
+	"\"routeType\":\"idempotent\",\"timeoutMs\":1000,"                     \
+	"\"targetLatencyMs\":300,\"priority\":1,\"gather\":[\"a\",\"b\"],"     \
+	"\"maxAttempts\":2,\"topK\":4,\"oldestVersion\":0.5}"
+#define CONF_ONE                                                               \
+	",{\"name\":\"one\",\"host\":\"h\",\"prefix\":\"/one/\","              \
+	"\"routeType\":\"idempotent\",\"timeoutMs\":1000,"                     \
+	"\"targetLatencyMs\":300,\"priority\":1,\"service\":\"a\","            \
+	"\"maxAttempts\":2}"
+#define CONF_ONCE                                                              \
+	",{\"name\":\"once\",\"host\":\"h\",\"prefix\":\"/once/\","            \
+	"\"routeType\":\"non_idempotent\",\"timeoutMs\":1000,"                 \
+	"\"targetLatencyMs\":300,\"priority\":1,\"service\":\"a\","            \
+	"\"maxAttempts\":2}"
+#define CONF_TAIL                                                              \
+	"],\"services\":[{\"name\":\"a\",\"maxConnections\":30},"              \
+	"{\"name\":\"b\",\"maxConnections\":30}],"                             \
+	"\"limits\":{\"maxHeaderBytes\":1000,\"maxBodyBytes\":1000,"           \
+	"\"headerTimeoutMs\":300,\"idleTimeoutMs\":5000}}"
+
+#define HEAD(path, id)                                                         \
+	"GET " path " HTTP/1.1\r\nHost: h\r\nRequest-Id: " id                  \
+	"\r\nDeadline-Ms: 1000\r\n"
+#define GET(path, id) HEAD(path, id) "\r\n"
+
+/* One daemon, two servers of a, one of b. */
+typedef struct rig {
+	world_t *w;
+	world_daemon_t *d;
+	world_server_t *a[2];
+	world_server_t *b;
+} rig_t;
+
+static void put_conf(world_t *w, const char *rest, unsigned version)
+{
+	char *text = g_strdup_printf("{\"version\":%u,%s", version, rest);
+
+	world_put(w, "op/config", text);
+	g_free(text);
+}
+
+static rig_t rig_new(void)
+{
+	rig_t r = { .w = world_new() };
+
+	put_conf(r.w, CONF_HEAD CONF_ALL CONF_ONE CONF_ONCE CONF_TAIL, 3);
+	r.a[0] = world_server(r.w, "a", "x");
+	r.a[1] = world_server(r.w, "a", "y");
+	r.b = world_server(r.w, "b", "x");
+	r.d = world_daemon(r.w, "x");
+	CU_ASSERT_FATAL(world_wait_ready(r.w, r.d, true, READY_MS));
+	return r;
+}
+
+static void clear(world_answer_t *a)
+{
+	g_string_free(a->body, TRUE);
+	a->body = NULL;
+}
+
+/* Asks and gives the status; the rest of the answer is dropped. */
+static unsigned status_of(rig_t *r, const char *bytes)
+{
+	world_answer_t a;
+	unsigned status;
+
+	world_ask(r->w, r->d->listen, bytes, ASK_MS, &a);
+	status = a.status;
+	clear(&a);
+	return status;
+}
+
+static void test_path(void)
+{
+	rig_t r = rig_new();
+	world_answer_t a;
+
+	world_ask(r.w, r.d->listen, GET("/all/x?y=1", "q1"), ASK_MS, &a);
+	CU_ASSERT_EQUAL(a.status, 200);
+	CU_ASSERT_EQUAL(a.missing, 0);
+	CU_ASSERT_STRING_EQUAL(a.stamps, "i-a-0.q1, i-b-2.q1");
+	CU_ASSERT_EQUAL(a.body->len, 64);
+	CU_ASSERT_EQUAL(memcmp(a.body->str, "9i-b", 4), 0);
+	CU_ASSERT_EQUAL(memcmp(a.body->str + 16, "9i-a", 4), 0);
+	CU_ASSERT_EQUAL(memcmp(a.body->str + 32, "5i-b", 4), 0);
+	clear(&a);
+	world_ask(r.w, r.d->listen, GET("/one/x", "q2"), ASK_MS, &a);
+	CU_ASSERT_EQUAL(a.status, 200);
+	CU_ASSERT_EQUAL(a.body->len, 48);
+	clear(&a);
+	world_free(r.w);
+}
+
+/* Each fault of a server on each kind of route. */
+static void test_faults(void)
+{
+	static const struct {
+		fault_t fault;
+		const char *path;
+		unsigned status;
+		unsigned runs;
+	} cases[] = {
+		{ FAULT_NO_LENGTH, "/one/", 200, 1 },
+		{ FAULT_NO_LENGTH, "/once/", 200, 1 },
+		{ FAULT_CUT, "/one/", 200, 2 },
+		{ FAULT_CUT, "/once/", 502, 1 },
+		{ FAULT_EXTRA, "/one/", 200, 1 },
+		{ FAULT_EXTRA, "/once/", 200, 1 },
+		{ FAULT_STRAY, "/one/", 200, 1 },
+		{ FAULT_STRAY, "/once/", 200, 1 },
+		{ FAULT_LATE_SECOND, "/one/", 200, 1 },
+		{ FAULT_RESET, "/one/", 200, 2 },
+		{ FAULT_RESET, "/once/", 502, 1 },
+		{ FAULT_SILENT, "/one/", 200, 2 },
+		{ FAULT_SILENT, "/once/", 504, 1 },
+		{ FAULT_REFUSE, "/one/", 200, 1 },
+		{ FAULT_REFUSE, "/once/", 200, 1 },
+		{ FAULT_ERROR, "/one/", 200, 2 },
+		{ FAULT_ERROR, "/once/", 500, 1 },
+		{ FAULT_OTHER, "/one/", 200, 1 },
+		{ FAULT_OTHER, "/once/", 200, 1 },
+	};
+	char bytes[256], id[32];
+	unsigned status;
+	size_t i, j;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		rig_t r = rig_new();
+
+		r.a[0]->fault = cases[i].fault;
+		r.a[0]->nfaults = 1;
+		snprintf(id, sizeof(id), "f%zu", i);
+		snprintf(bytes, sizeof(bytes),
+			 "GET %sx HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\n"
+			 "Deadline-Ms: 900\r\n\r\n",
+			 cases[i].path, id);
+		status = status_of(&r, bytes);
+		if (status != cases[i].status ||
+		    world_runs(r.w, id) != cases[i].runs)
+			printf("\n  case %zu: status %u, runs %u\n", i, status,
+			       world_runs(r.w, id));
+		CU_ASSERT_EQUAL(status, cases[i].status);
+		CU_ASSERT_EQUAL(world_runs(r.w, id), cases[i].runs);
+		/* What comes after a fault is whole and its own. */
+		world_pass(r.w, 100);
+		for (j = 0; j < 3; j++)
+			CU_ASSERT_EQUAL(status_of(&r, GET("/all/x", "after")),
+					200);
+		world_free(r.w);
+	}
+}
+
+/* What a caller may not send, and what it may. */
+static void test_callers(void)
+{
+	static const struct {
+		const char *bytes;
+		unsigned status;
+	} cases[] = {
+		{ "GET /one/ HTTP/1.1\r\nRequest-Id: c\r\n\r\n", 400 },
+		{ "nonsense\r\n\r\n", 400 },
+		{ HEAD("/one/", "c") "Transfer-Encoding: chunked\r\n"
+				     "Content-Length: 3\r\n\r\n0\r\n\r\n",
+		  400 },
+		{ "GET /one/ HTTP/1.1\r\nHost: h\r\nRequest-Id: c\r\n"
+		  "Deadline-Ms: soon\r\n\r\n",
+		  400 },
+		{ HEAD("/one/", "c") "Content-Length: 1001\r\n\r\n", 413 },
+		{ HEAD("/one/", "c") "Content-Length: 3\r\n\r\nabc", 200 },
+		{ HEAD("/one/", "c") "Transfer-Encoding: chunked\r\n\r\n"
+				     "3\r\nabc\r\n0\r\n\r\n",
+		  200 },
+		{ GET("/nowhere/", "c"), 404 },
+		{ "GET /one/ HTTP/1.1\r\nHost: H:80\r\nRequest-Id: c\r\n\r\n",
+		  200 },
+		{ HEAD("/one/", "c"), 408 }, /* the rest never comes */
+	};
+	GString *large = g_string_new(HEAD("/one/", "c") "X: ");
+	rig_t r = rig_new();
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		CU_ASSERT_EQUAL(status_of(&r, cases[i].bytes), cases[i].status);
+	for (i = 0; i < 1000; i++)
+		g_string_append_c(large, 'x');
+	g_string_append(large, "\r\n\r\n");
+	CU_ASSERT_EQUAL(status_of(&r, large->str), 431);
+	g_string_free(large, TRUE);
+	world_free(r.w);
+}
+
+/* Requests sent ahead on one connection get their answers in order. */
+static void test_pipeline(void)
+{
+	rig_t r = rig_new();
+	struct bufferevent *bev = world_connect(r.w, r.d->listen);
+	static const char *const want[] = { "i-a-0.p1, i-b-2.p1",
+					    "i-a-0.p2, i-b-2.p2" };
+	world_answer_t a;
+	size_t i;
+
+	for (i = 0; i < 2; i++) {
+		world_ask_on(r.w, bev,
+			     i ? "" : GET("/all/x", "p1") GET("/all/x", "p2"),
+			     ASK_MS, &a);
+		CU_ASSERT_EQUAL(a.status, 200);
+		CU_ASSERT_STRING_EQUAL(a.stamps, want[i]);
+		clear(&a);
+	}
+	bufferevent_free(bev);
+	world_free(r.w);
+}
+
+/* A caller that leaves: its servers' connections are closed at once. */
+static void test_caller_leaves(void)
+{
+	rig_t r = rig_new();
+	struct bufferevent *bev;
+
+	r.a[0]->work_ms = 500;
+	r.b->work_ms = 500;
+	bev = world_connect(r.w, r.d->listen);
+	evbuffer_add_printf(bufferevent_get_output(bev), "%s",
+			    GET("/all/x", "gone"));
+	world_pass(r.w, 100);
+	bufferevent_free(bev);
+	world_pass(r.w, 150);
+	CU_ASSERT_EQUAL(r.a[0]->broken, 1);
+	CU_ASSERT_EQUAL(r.b->broken, 1);
+	CU_ASSERT_EQUAL(world_runs(r.w, "gone"), 0);
+	world_free(r.w);
+}
+
+/* A new version is in force in time; an older one never is again. */
+static void test_configuration(void)
+{
+	rig_t r = rig_new();
+
+	CU_ASSERT_EQUAL(status_of(&r, GET("/one/x", "v")), 200);
+	put_conf(r.w, CONF_HEAD CONF_ALL CONF_TAIL, 9);
+	world_pass(r.w, 1500);
+	CU_ASSERT_EQUAL(status_of(&r, GET("/one/x", "v")), 404);
+	put_conf(r.w, CONF_HEAD CONF_ALL CONF_ONE CONF_TAIL, 8);
+	world_put(r.w, "op/config", "{\"version\":10,");
+	world_put(r.w, "servers/i-junk", "not an entry");
+	world_pass(r.w, 1500);
+	CU_ASSERT_EQUAL(status_of(&r, GET("/one/x", "v")), 404);
+	CU_ASSERT_EQUAL(status_of(&r, GET("/all/x", "v")), 200);
+	world_free(r.w);
+}
+
+/* A server that leaves gets nothing new; a new one gets work. */
+static void test_servers_change(void)
+{
+	rig_t r = rig_new();
+	unsigned before;
+	size_t i;
+
+	CU_ASSERT_EQUAL(status_of(&r, GET("/one/x", "s")), 200);
+	world_publish(r.a[0], "draining");
+	world_pass(r.w, 1500);
+	before = r.a[0]->runs;
+	for (i = 0; i < 5; i++)
+		CU_ASSERT_EQUAL(status_of(&r, GET("/one/x", "s")), 200);
+	CU_ASSERT_EQUAL(r.a[0]->runs, before);
+	world_publish(r.a[1], NULL);
+	world_pass(r.w, 1500);
+	CU_ASSERT_EQUAL(status_of(&r, GET("/one/x", "s")), 503);
+	world_server(r.w, "a", "x");
+	world_pass(r.w, 1500);
+	CU_ASSERT_EQUAL(status_of(&r, GET("/one/x", "s")), 200);
+	world_free(r.w);
+}
+
+/* The store is away: what is known goes on; a daemon that starts meanwhile
+ * learns it from the other. */
+static void test_store_away(void)
+{
+	rig_t r = rig_new();
+	world_daemon_t *late;
+	world_answer_t a;
+
+	r.w->store_down = true;
+	world_pass(r.w, 300);
+	CU_ASSERT_EQUAL(status_of(&r, GET("/all/x", "d")), 200);
+	late = world_daemon(r.w, "x");
+	CU_ASSERT(world_wait_ready(r.w, late, true, READY_MS));
+	world_ask(r.w, late->listen, GET("/all/x", "d2"), ASK_MS, &a);
+	CU_ASSERT_EQUAL(a.status, 200);
+	clear(&a);
+	world_free(r.w);
+}
+
+/* Without a configuration: not ready, and nothing is said to be missing. */
+static void test_no_configuration(void)
+{
+	rig_t r = { .w = world_new() };
+
+	r.d = world_daemon(r.w, "x");
+	world_pass(r.w, 300);
+	CU_ASSERT_FALSE(world_wait_ready(r.w, r.d, true, 200));
+	CU_ASSERT_EQUAL(status_of(&r, GET("/one/x", "n")), 503);
+	world_free(r.w);
+}
+
+/* A planned stop cuts nothing: what is open ends, callers are sent away. */
+static void test_stop(void)
+{
+	rig_t r = rig_new();
+	struct bufferevent *bev = world_connect(r.w, r.d->listen);
+	world_answer_t a;
+	int status = 0;
+
+	r.a[0]->work_ms = 250;
+	r.a[1]->work_ms = 250;
+	evbuffer_add_printf(bufferevent_get_output(bev), "%s",
+			    GET("/once/x", "stop"));
+	world_pass(r.w, 80);
+	kill(r.d->pid, SIGTERM);
+	CU_ASSERT(world_wait_ready(r.w, r.d, false, 500));
+	world_ask_on(r.w, bev, "", ASK_MS, &a);
+	CU_ASSERT_EQUAL(a.status, 200);
+	CU_ASSERT_EQUAL(world_runs(r.w, "stop"), 1);
+	clear(&a);
+	bufferevent_free(bev);
+	/* The balancer lags: what still comes is served. */
+	CU_ASSERT_EQUAL(status_of(&r, GET("/once/x", "lag")), 200);
+	world_pass(r.w, 1200);
+	CU_ASSERT_EQUAL(waitpid(r.d->pid, &status, WNOHANG), r.d->pid);
+	CU_ASSERT(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	r.d->pid = 0;
+	world_free(r.w);
+}
+
+/* SIGHUP cuts nothing, and settings with a fault change nothing. */
+static void test_reload(void)
+{
+	rig_t r = rig_new();
+	struct bufferevent *bev = world_connect(r.w, r.d->listen);
+	world_answer_t a;
+
+	r.a[0]->work_ms = 200;
+	evbuffer_add_printf(bufferevent_get_output(bev), "%s",
+			    GET("/once/x", "hup"));
+	world_pass(r.w, 50);
+	kill(r.d->pid, SIGHUP);
+	g_file_set_contents(r.d->settings, "{\"name\":7}", -1, NULL);
+	kill(r.d->pid, SIGHUP);
+	world_ask_on(r.w, bev, "", ASK_MS, &a);
+	CU_ASSERT_EQUAL(a.status, 200);
+	clear(&a);
+	bufferevent_free(bev);
+	CU_ASSERT_EQUAL(status_of(&r, GET("/all/x", "hup2")), 200);
+	world_free(r.w);
+}
+
+/* What cannot be served is refused at once, with a time to come back. */
+static void test_refused(void)
+{
+	rig_t r = rig_new();
+	world_answer_t a;
+
+	world_publish(r.b, NULL);
+	world_publish(r.a[0], NULL);
+	world_publish(r.a[1], NULL);
+	world_pass(r.w, 1500);
+	world_ask(r.w, r.d->listen, GET("/all/x", "r"), ASK_MS, &a);
+	CU_ASSERT_EQUAL(a.status, 503);
+	CU_ASSERT(strtod(a.retry_after, NULL) > 0);
+	CU_ASSERT(a.took < 100 * USEC_PER_MSEC);
+	CU_ASSERT_EQUAL(world_runs(r.w, "r"), 0);
+	clear(&a);
+	world_free(r.w);
+}
+
+static void test_metrics(void)
+{
+	rig_t r = rig_new();
+	world_answer_t a;
+
+	CU_ASSERT_EQUAL(status_of(&r, GET("/all/x", "m")), 200);
+	world_ask(r.w, r.d->admin, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n",
+		  ASK_MS, &a);
+	CU_ASSERT_EQUAL(a.status, 200);
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(a.body->str, "geraniumslip_complete_total 1\n"));
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(a.body->str, "geraniumslip_first_sends_total 2\n"));
+	clear(&a);
+	world_free(r.w);
+}
+
+int main(void)
+{
+	static const struct {
+		const char *name;
+		CU_TestFunc fn;
+	} tests[] = {
+		{ "whole path", test_path },
+		{ "faults of servers", test_faults },
+		{ "what callers send", test_callers },
+		{ "requests sent ahead", test_pipeline },
+		{ "a caller leaves", test_caller_leaves },
+		{ "configurations", test_configuration },
+		{ "servers come and go", test_servers_change },
+		{ "the store is away", test_store_away },
+		{ "no configuration", test_no_configuration },
+		{ "planned stop", test_stop },
+		{ "reload", test_reload },
+		{ "refused at once", test_refused },
+		{ "metrics", test_metrics },
+	};
+	unsigned failures;
+	CU_pSuite s;
+	size_t i;
+
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	CU_initialize_registry();
+	s = CU_add_suite("routed path", NULL, NULL);
+	for (i = 0; i < sizeof(tests) / sizeof(tests[0]); i++)
+		CU_add_test(s, tests[i].name, tests[i].fn);
+	CU_basic_set_mode(CU_BRM_VERBOSE);
+	CU_basic_run_tests();
+	failures = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
