Count refusals and failures into what a server costs, and share it

Change: a decaying share of refused and failed sends weighs six usual times each in the choice, and is told along with the pace. test_shedding_server: servers that refuse or fail two of five get under 30 bad sends of 300.

--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -82,7 +82,8 @@
 
 static void act_tell(edge_t *e, const rt_act_t *act)
 {
-	fleet_peers_tell(e, act->tell.server_id, act->tell.pace);
+	fleet_peers_tell(e, act->tell.server_id, act->tell.pace,
+			 act->tell.failing);
 }
 
 static void act_log(edge_t *e, const rt_act_t *act)
--- a/daemon/edge_peer.c
+++ b/daemon/edge_peer.c
@@ -105,7 +105,8 @@
 
 static void on_pace(edge_t *e, const fleet_msg_t *m, usec_t now)
 {
-	rt_told(e->rt, m->server, (double)m->pace / FLEET_PACE_UNIT, now);
+	rt_told(e->rt, m->server, (double)m->pace / FLEET_UNIT,
+		(double)m->failing / FLEET_UNIT, now);
 }
 
 static void receive_all(edge_t *e)
@@ -212,11 +213,12 @@
 	send_neighbours(e, &(fleet_msg_t){ .kind = FLEET_LEAVE });
 }
 
-void fleet_peers_tell(edge_t *e, str_t server_id, double pace)
+void fleet_peers_tell(edge_t *e, str_t server_id, double pace, double failing)
 {
 	fleet_msg_t m = { .kind = FLEET_PACE, .server = server_id };
 
-	m.pace = (uint64_t)(pace * FLEET_PACE_UNIT);
+	m.pace = (uint64_t)(pace * FLEET_UNIT);
+	m.failing = (uint64_t)(failing * FLEET_UNIT);
 	send_neighbours(e, &m);
 }
 
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -141,8 +141,8 @@
 void fleet_peers_read(edge_t *e, uint64_t before);
 /** Tells neighbours that this daemon ends. */
 void fleet_peers_leave(edge_t *e);
-/** Tells neighbours how fast a server answers. */
-void fleet_peers_tell(edge_t *e, str_t server_id, double pace);
+/** Tells neighbours how fast a server answers, and what share it fails. */
+void fleet_peers_tell(edge_t *e, str_t server_id, double pace, double failing);
 void fleet_peers_free(edge_t *e);
 
 /* edge.c */
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -9,8 +9,8 @@
 
 #include "base.h"
 
-#define FLEET_PACE_UNIT 1000.0 /**< of a pace of 1 */
-#define FLEET_MAX_TOLD 16      /**< members that one message tells of */
+#define FLEET_UNIT 1000.0 /**< fractions travel in thousandths */
+#define FLEET_MAX_TOLD 16 /**< members that one message tells of */
 
 /** A published key as it was last written. */
 typedef struct fleet_item {
@@ -49,6 +49,7 @@
 	bool whole;	/**< of STATE: keys that are not named are gone */
 	str_t server;	/**< of PACE: its id */
 	uint64_t pace;	/**< of PACE: its time over the usual, thousandths */
+	uint64_t failing; /**< of PACE: share that fails, thousandths */
 	fleet_told_t told[FLEET_MAX_TOLD];
 	size_t ntold;
 	fleet_item_t *items;
--- a/fleet/fleet_wire.c
+++ b/fleet/fleet_wire.c
@@ -11,7 +11,7 @@
 #include "wire.h"
 
 #define VERSION 1
-#define MEMBERS 11 /* of the outer array */
+#define MEMBERS 12 /* of the outer array */
 #define MAX_ITEMS 100000
 
 static void pack_str(msgpack_packer *pk, str_t v)
@@ -63,6 +63,7 @@
 	msgpack_pack_uint64(&pk, m->since << 1 | m->whole);
 	pack_str(&pk, m->server);
 	msgpack_pack_uint64(&pk, m->pace);
+	msgpack_pack_uint64(&pk, m->failing);
 	pack_told(&pk, m);
 	pack_items(&pk, m);
 	*sz = buf.size;
@@ -159,7 +160,8 @@
 	m->whole = m->since & 1;
 	m->since >>= 1;
 	return get_str(&at[7], &m->server, mem) && get_u64(&at[8], &m->pace) &&
-	       get_told(&at[9], m, mem) && get_items(&at[10], m, mem);
+	       get_u64(&at[9], &m->failing) && get_told(&at[10], m, mem) &&
+	       get_items(&at[11], m, mem);
 }
 
 bool fleet_decode(const char *bytes, size_t sz, fleet_msg_t *m, arena_t *mem)
--- a/route/route.h
+++ b/route/route.h
@@ -241,7 +241,8 @@
 		} server;
 		struct {
 			str_t server_id;
-			double pace; /**< its time over the usual time */
+			double pace;	/**< its time over the usual time */
+			double failing; /**< share of sends that fail, 0 to 1 */
 		} tell;
 		rt_line_t line;
 	};
@@ -293,8 +294,9 @@
 void rt_entry(rt_t *rt, const rt_entry_t *e, usec_t now);
 /** A server is not published any more. */
 void rt_gone(rt_t *rt, str_t id, usec_t now);
-/** A neighbour tells how fast a server answers: time over usual time. */
-void rt_told(rt_t *rt, str_t server_id, double pace, usec_t now);
+/** A neighbour tells how fast a server answers, and what share it fails. */
+void rt_told(rt_t *rt, str_t server_id, double pace, double failing,
+	     usec_t now);
 /** Whether the registry answers. */
 void rt_registry(rt_t *rt, bool up, usec_t now);
 
--- a/route/rt_server.c
+++ b/route/rt_server.c
@@ -17,7 +17,9 @@
 #define PACE_HALF_LIFE USEC_PER_SEC /* of what is off, without answers */
 #define PACE_NONE 0.01		    /* off by so little is not off */
 #define PACE_SLOW 1.8		    /* times the best: it gets probes only */
-#define FAIL_WEIGHT 0.15	    /* of one send in the share of failures */
+#define FAIL_WEIGHT 0.1		    /* of one send in the share of failures */
+#define FAIL_COST 6.0		    /* usual times that a failed send costs */
+#define FAIL_NONE 0.02		    /* a share that counts as none */
 #define FAIL_TOO_MANY 0.2	    /* share of failures to be avoided */
 #define AVOID_MIN (150 * USEC_PER_MSEC)
 #define AVOID_MAX (2 * USEC_PER_SEC)
@@ -97,6 +99,18 @@
 	return s->near ? PACE_NEAR : PACE_FAR;
 }
 
+/* Time that it costs to ask it, over the usual time: a send that it refuses
+ * or fails has to be made up for by another one. */
+static double cost(const rt_server_t *s)
+{
+	return s->pace * (1 + FAIL_COST * s->failing);
+}
+
+static bool is_slow(const rt_server_t *s)
+{
+	return cost(s) > PACE_SLOW;
+}
+
 double rt_svc_best_pace(const rt_svc_t *svc)
 {
 	double best = 0;
@@ -104,73 +118,94 @@
 
 	for (i = 0; i < svc->n; i++)
 		if (rt_server_usable(svc->v[i]) &&
-		    (best == 0 || svc->v[i]->pace < best))
-			best = svc->v[i]->pace;
+		    (best == 0 || cost(svc->v[i]) < best))
+			best = cost(svc->v[i]);
 	return best;
 }
 
 double rt_server_pace(const rt_server_t *s, double best, usec_t now)
 {
-	double base = best * first_pace(s), off = s->pace - base;
+	double base = best * first_pace(s), off = cost(s) - base;
 	usec_t age = now - s->sampled_at;
 
 	/* What is known to be slow stays so until a probe tells otherwise. */
-	if (s->pace > PACE_SLOW || off <= 0)
-		return s->pace;
+	if (is_slow(s) || off <= 0)
+		return cost(s);
 	for (; age >= PACE_HALF_LIFE && off > PACE_NONE; age -= PACE_HALF_LIFE)
 		off /= 2;
 	return base + off;
 }
 
 /* Crossing the line between well and slow is told to neighbours. */
-static void set_pace(rt_t *rt, rt_server_t *s, double pace, usec_t took)
+static void tell_crossing(rt_t *rt, const rt_server_t *s, bool was_slow,
+			  usec_t took)
 {
-	bool was_slow = s->pace > PACE_SLOW;
 	rt_act_t *a;
 
-	s->pace = pace;
-	if (was_slow == (pace > PACE_SLOW))
+	if (was_slow == is_slow(s))
 		return;
 	log_belief(rt, s, was_slow ? RT_WHY_WELL : RT_WHY_SLOW, took);
 	a = rt_act_add(rt, RT_ACT_TELL);
 	a->tell.server_id = arena_str(&rt->scratch, s->id);
-	a->tell.pace = pace;
+	a->tell.pace = s->pace;
+	a->tell.failing = s->failing;
 }
 
-static void note_pace(rt_t *rt, rt_attempt_t *a, usec_t now)
+static void note_answer(rt_t *rt, rt_attempt_t *a, usec_t now)
 {
 	rt_server_t *s = a->server;
 	usec_t took = now - a->sent_at;
 	double ratio = (double)took / (double)rt_stat_usual(a->stat);
-	double weight = PACE_WEIGHT, pace;
+	double weight = PACE_WEIGHT, pace = s->pace;
+	bool was_slow = is_slow(s);
 
 	if (ratio > PACE_MAX)
 		ratio = PACE_MAX;
-	if (s->pace > PACE_SLOW && ratio < s->pace)
+	if (was_slow && ratio < s->pace)
 		weight = RECOVERY_WEIGHT;
-	pace = rt_server_pace(s, rt_svc_best_pace(s->svc), now);
+	if (!was_slow && s->failing < FAIL_NONE)
+		pace = rt_server_pace(s, rt_svc_best_pace(s->svc), now);
 	s->sampled_at = now;
 	rt_stat_note(a->stat, took);
-	set_pace(rt, s, pace + weight * (ratio - pace), took);
+	s->pace = pace + weight * (ratio - pace);
+	s->failing -= FAIL_WEIGHT * s->failing;
+	if (s->fail_streak > 1)
+		log_belief(rt, s, RT_WHY_WELL, 0);
+	s->fail_streak = 0;
+	tell_crossing(rt, s, was_slow, took);
 }
 
-void rt_told(rt_t *rt, str_t id, double pace, usec_t now)
+void rt_told(rt_t *rt, str_t id, double pace, double failing, usec_t now)
 {
 	rt_server_t *s = strmap_get(&rt->servers, id);
 
-	if (!s || !(pace > 0) || pace > PACE_MAX)
+	if (!s || !(pace > 0) || pace > PACE_MAX || !(failing >= 0) ||
+	    failing > 1)
 		return;
-	if (s->pace <= PACE_SLOW && now - s->sampled_at < OWN_WORD)
+	if (!is_slow(s) && now - s->sampled_at < OWN_WORD)
 		return;
 	s->pace = pace;
+	s->failing = failing;
 	s->sampled_at = now;
 }
 
+/* It refused a request: it is full, or says so. */
+static void note_refusal(rt_t *rt, rt_server_t *s, usec_t now)
+{
+	bool was_slow = is_slow(s);
+
+	s->sampled_at = now;
+	s->failing += FAIL_WEIGHT * (1 - s->failing);
+	tell_crossing(rt, s, was_slow, 0);
+}
+
 static void note_failure(rt_t *rt, rt_server_t *s, rt_result_t r, usec_t now)
 {
+	bool was_slow = is_slow(s);
 	usec_t wait = AVOID_MIN;
 	unsigned i;
 
+	s->sampled_at = now;
 	s->failing += FAIL_WEIGHT * (1 - s->failing);
 	for (i = 0; i < s->fail_streak && wait < AVOID_MAX; i++)
 		wait *= 2;
@@ -185,14 +220,7 @@
 		log_belief(rt, s,
 			   r == RT_NOT_SENT ? RT_WHY_NO_SERVER : RT_WHY_LOST,
 			   s->avoid_until > now ? s->avoid_until - now : 0);
-}
-
-static void note_well(rt_t *rt, rt_server_t *s)
-{
-	s->failing -= FAIL_WEIGHT * s->failing;
-	if (s->fail_streak > 1)
-		log_belief(rt, s, RT_WHY_WELL, 0);
-	s->fail_streak = 0;
+	tell_crossing(rt, s, was_slow, 0);
 }
 
 void rt_server_ended(rt_t *rt, rt_attempt_t *a, rt_result_t r, usec_t now)
@@ -202,14 +230,10 @@
 	unlink_attempt(a);
 	switch (r) {
 	case RT_ANSWERED:
-		note_pace(rt, a, now);
-		note_well(rt, s);
+		note_answer(rt, a, now);
 		break;
 	case RT_NOT_RUN:
-		/* It is full: as slow as the slowest, for a moment. */
-		s->sampled_at = now;
-		set_pace(rt, s, s->pace + PACE_WEIGHT * (PACE_MAX - s->pace),
-			 now - a->sent_at);
+		note_refusal(rt, s, now);
 		break;
 	case RT_MOVED:
 		rt_server_leave(rt, s, RT_WHY_MOVED, now);
@@ -244,7 +268,7 @@
 		return false;
 	if (fails)
 		return now >= s->avoid_until;
-	return s->pace > PACE_SLOW * best && now - s->sampled_at >= period / 2;
+	return cost(s) > PACE_SLOW * best && now - s->sampled_at >= period / 2;
 }
 
 void rt_server_leave(rt_t *rt, rt_server_t *s, rt_why_t why, usec_t now)
@@ -396,13 +420,16 @@
 static void note_silence(rt_t *rt, rt_attempt_t *a, usec_t now)
 {
 	usec_t out = now - a->sent_at;
+	bool was_slow;
 
 	if (a->silent || out < SILENT_TIME ||
 	    out < SILENT_FACTOR * rt_stat_usual(a->stat))
 		return;
 	a->silent = true;
+	was_slow = is_slow(a->server);
 	a->server->sampled_at = now;
-	set_pace(rt, a->server, PACE_MAX, out);
+	a->server->pace = PACE_MAX;
+	tell_crossing(rt, a->server, was_slow, out);
 }
 
 /* Sends whose time is over are lost; lapsed servers are gone in the end. */
--- a/tests/unit_route.c
+++ b/tests/unit_route.c
@@ -576,6 +576,42 @@
 	rig_free(r);
 }
 
+/* A server refuses two of five requests: it is found out, and most requests
+ * go elsewhere; the same for one that fails them. */
+static void test_shedding_server(void)
+{
+	static const rt_result_t how[] = { RT_NOT_RUN, RT_FAILED, RT_LOST };
+	rng_t rng = { 5 };
+	size_t i, k, from, extra;
+
+	for (k = 0; k < sizeof(how) / sizeof(how[0]); k++) {
+		rig_t *r = rig_new(9, 3);
+
+		warm_up(r, "/one/x", 30);
+		extra = 0;
+		for (i = 0; i < 300; i++) {
+			from = r->nsent;
+			ask(r, "/one/x", r);
+			pass(r, 5 * MS);
+			for (; from < r->nsent; from++) {
+				bool bad = strcmp(r->sent[from].server,
+						  "i0-0") == 0 &&
+					   rng_below(&rng, 5) < 2;
+
+				extra += bad;
+				if (!bad)
+					pass(r, 15 * MS);
+				end_with(r, from, bad ? how[k] : RT_ANSWERED,
+					 "x");
+			}
+			pass(r, 20 * MS);
+		}
+		/* Without any learning it would be 120 of 300. */
+		CU_ASSERT(extra < 30);
+		rig_free(r);
+	}
+}
+
 /* What neighbours tell counts unless the own word is newer. */
 static void test_told(void)
 {
@@ -590,7 +626,7 @@
 
 		warm_up(r, "/one/x", 30);
 		pass(r, cases[i].since);
-		rt_told(r->rt, STR("i0-0"), 5.0, r->now);
+		rt_told(r->rt, STR("i0-0"), 5.0, 0, r->now);
 		from = r->nsent;
 		ask(r, "/one/x", r);
 		CU_ASSERT_STRING_EQUAL(r->sent[from].server, cases[i].want);
@@ -793,6 +829,7 @@
 		{ "what cannot be in time is refused", test_overload },
 		{ "budget of all hosts", test_budget },
 		{ "slow server", test_slow_server },
+		{ "server that refuses or fails a part", test_shedding_server },
 		{ "neighbours' words", test_told },
 		{ "leaving servers", test_draining },
 		{ "lapsed servers", test_lapse },
