--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -88,19 +88,7 @@
 
 static void act_log(edge_t *e, const rt_act_t *act)
 {
-	const rt_line_t *l = &act->line;
-	char id[160], service[160], server[160];
-
-	(void)e;
-	if (!log_on(l->failure ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_DEBUG))
-		return;
-	log_json(l->failure ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_DEBUG, l->what,
-		 "\"why\":\"%s\",\"request\":%s,\"service\":%s,"
-		 "\"server\":%s,\"n\":%llu,\"us\":%lld",
-		 rt_why_name(l->why), log_quote(id, sizeof(id), l->id),
-		 log_quote(service, sizeof(service), l->service),
-		 log_quote(server, sizeof(server), l->server),
-		 (unsigned long long)l->n, (long long)l->value);
+	edge_log(e, &act->line, clock_now());
 }
 
 static void set_tick(edge_t *e)
@@ -178,33 +166,6 @@
 		evhttp_send_reply(req, 503, "Service Unavailable", NULL);
 }
 
-static void on_metrics(struct evhttp_request *req, void *arg)
-{
-	struct evbuffer *out = evbuffer_new();
-	edge_t *e = arg;
-	rt_counter_t k;
-
-	for (k = 0; k < RT_CNT_MAX; k++)
-		evbuffer_add_printf(out,
-				    "# TYPE geraniumslip_%s_total counter\n"
-				    "geraniumslip_%s_total %llu\n",
-				    rt_counter_name(k), rt_counter_name(k),
-				    (unsigned long long)rt_counter(e->rt, k));
-	evbuffer_add_printf(
-		out,
-		"# TYPE geraniumslip_open_requests gauge\n"
-		"geraniumslip_open_requests %zu\n"
-		"# TYPE geraniumslip_callers gauge\n"
-		"geraniumslip_callers %zu\n"
-		"# TYPE geraniumslip_version gauge\n"
-		"geraniumslip_version %llu\n",
-		rt_open(e->rt), callers_open(e),
-		(unsigned long long)(rt_conf(e->rt) ? rt_conf(e->rt)->version
-						    : 0));
-	evhttp_send_reply(req, 200, "OK", out);
-	evbuffer_free(out);
-}
-
 static struct evhttp *serve(edge_t *e, const char *addr, const char *path,
 			    void (*fn)(struct evhttp_request *, void *))
 {
@@ -396,7 +357,7 @@
 	r->stop_timer = event_new(e->base, -1, EV_PERSIST, on_stop_timer, r);
 	watch_signals(r);
 	r->ready = serve(e, s->ready, e->outside->ready_path, on_ready);
-	r->metrics = serve(e, s->admin, "/metrics", on_metrics);
+	r->metrics = serve(e, s->admin, "/metrics", edge_metrics);
 	if (!r->ready || !r->metrics || !callers_start(e, s->listen))
 		return DAEMON_E_LISTEN;
 	if (!fleet_peers_start(e))
--- /dev/null
+++ b/daemon/edge_metrics.c
@@ -0,0 +1,94 @@
+/** @file edge_metrics.c Counters and histograms as Prometheus text. */
+#include <event2/http.h>
+
+#include "libedge.h"
+
+static void put_hist(struct evbuffer *out, const char *name, const char *label,
+		     const char *value, const rt_hist_t *h)
+{
+	uint64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < RT_HIST_PARTS; i++) {
+		sum += h->count[i];
+		evbuffer_add_printf(out,
+				    "geraniumslip_%s_seconds_bucket"
+				    "{%s=\"%s\",le=\"%g\"} %llu\n",
+				    name, label, value,
+				    (double)rt_hist_bounds[i] /
+					    (double)USEC_PER_SEC,
+				    (unsigned long long)sum);
+	}
+	evbuffer_add_printf(
+		out,
+		"geraniumslip_%s_seconds_bucket{%s=\"%s\",le=\"+Inf\"} %llu\n"
+		"geraniumslip_%s_seconds_sum{%s=\"%s\"} %.6f\n"
+		"geraniumslip_%s_seconds_count{%s=\"%s\"} %llu\n",
+		name, label, value, (unsigned long long)h->total, name, label,
+		value, (double)h->sum / (double)USEC_PER_SEC, name, label,
+		value, (unsigned long long)h->total);
+}
+
+static void put_hists(struct evbuffer *out, const rt_t *rt)
+{
+	rt_outcome_t o;
+	rt_result_t r;
+
+	evbuffer_add_printf(out,
+			    "# TYPE geraniumslip_request_seconds histogram\n");
+	for (o = 0; o < RT_OUT_MAX; o++)
+		put_hist(out, "request", "outcome", rt_outcome_name(o),
+			 rt_hist_requests(rt, o));
+	evbuffer_add_printf(out,
+			    "# TYPE geraniumslip_send_seconds histogram\n");
+	for (r = 0; r < RT_RESULT_MAX; r++)
+		put_hist(out, "send", "result", rt_result_name(r),
+			 rt_hist_sends(rt, r));
+	evbuffer_add_printf(out,
+			    "# TYPE geraniumslip_wait_seconds histogram\n");
+	put_hist(out, "wait", "for", "server", rt_hist_waits(rt));
+}
+
+static void put_gauge(struct evbuffer *out, const char *name, double v)
+{
+	evbuffer_add_printf(out,
+			    "# TYPE geraniumslip_%s gauge\n"
+			    "geraniumslip_%s %g\n",
+			    name, name, v);
+}
+
+static void put_gauges(struct evbuffer *out, edge_t *e)
+{
+	const rt_conf_t *c = rt_conf(e->rt);
+	usec_t now = clock_now(), age = fleet_age(e->fleet, now);
+
+	put_gauge(out, "open_requests", (double)rt_open(e->rt));
+	put_gauge(out, "callers", (double)callers_open(e));
+	put_gauge(out, "configuration_version", c ? (double)c->version : 0);
+	put_gauge(out, "state_revision",
+		  (double)fleet_state_revision(e->state));
+	put_gauge(out, "state_age_seconds",
+		  age < 0 ? -1 : (double)age / (double)USEC_PER_SEC);
+	put_gauge(out, "hosts_alive", (double)fleet_alive(e->fleet, now));
+	put_gauge(out, "hosts_reckoned", (double)fleet_hosts(e->fleet, now));
+	put_gauge(out, "reads_registry", fleet_should_read(e->fleet, now));
+	put_gauge(out, "log_lines_dropped", (double)log_dropped());
+}
+
+void edge_metrics(struct evhttp_request *req, void *arg)
+{
+	struct evbuffer *out = evbuffer_new();
+	edge_t *e = arg;
+	rt_counter_t k;
+
+	for (k = 0; k < RT_CNT_MAX; k++)
+		evbuffer_add_printf(out,
+				    "# TYPE geraniumslip_%s_total counter\n"
+				    "geraniumslip_%s_total %llu\n",
+				    rt_counter_name(k), rt_counter_name(k),
+				    (unsigned long long)rt_counter(e->rt, k));
+	put_gauges(out, e);
+	put_hists(out, e->rt);
+	evhttp_send_reply(req, 200, "OK", out);
+	evbuffer_free(out);
+}
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -145,6 +145,16 @@
 void fleet_peers_tell(edge_t *e, str_t server_id, double pace, double failing);
 void fleet_peers_free(edge_t *e);
 
+/* edge_log.c */
+#define EDGE_LOG_KINDS 6
+/** Writes a line of the decisions, if there is room for it this second. */
+void edge_log(edge_t *e, const rt_line_t *l, usec_t now);
+
+/* edge_metrics.c */
+struct evhttp_request;
+/** Answers a request for metrics; arg is the edge_t. */
+void edge_metrics(struct evhttp_request *req, void *arg);
+
 /* edge.c */
 struct edge {
 	const settings_t *settings;
@@ -159,9 +169,10 @@
 	struct callers *callers;
 	struct event *tick;
 	bool running_acts;
-	bool stopping; /* not ready; callers are sent away */
-	bool closed;   /* no listener any more */
-	uint64_t lines_left_out;
+	bool stopping;	   /* not ready; callers are sent away */
+	bool closed;	   /* no listener any more */
+	usec_t log_second; /* began then */
+	unsigned log_lines[EDGE_LOG_KINDS]; /* since then */
 };
 
 /** Does what the decisions ask for and sets the next tick. */
--- a/route/libroute.h
+++ b/route/libroute.h
@@ -96,8 +96,9 @@
 	unsigned ntried;
 	rt_why_t why; /* of the last failure */
 	rt_reply_t *reply;
-	usec_t hedge_at; /* 0: none */
-	usec_t again_at; /* 0: none; retry after a refusal */
+	usec_t hedge_at;   /* 0: none */
+	usec_t again_at;   /* 0: none; retry after a refusal */
+	usec_t waits_from; /* in the queue */
 	struct rt_shard *prev;
 	struct rt_shard *next;
 } rt_shard_t;
@@ -166,12 +167,18 @@
 	size_t act_room;
 	arena_t scratch; /* what actions point to */
 	uint64_t counters[RT_CNT_MAX];
+	rt_hist_t requests[RT_OUT_MAX];
+	rt_hist_t sends[RT_RESULT_MAX];
+	rt_hist_t waits;
 };
 
 /* rt_act.c */
 rt_act_t *rt_act_add(rt_t *rt, rt_act_kind_t kind);
 void rt_log(rt_t *rt, const rt_line_t *line);
 
+/* rt_hist.c */
+void rt_hist_add(rt_hist_t *h, usec_t v);
+
 /* rt_view.c */
 rt_svc_t *rt_svc_get(rt_t *rt, str_t name);
 rt_view_t *rt_view_new(rt_t *rt, rt_conf_t *c);
@@ -222,6 +229,7 @@
 	size_t usable; /* that may be given work, busy or not */
 	size_t candidates;
 	usec_t expected;
+	usec_t age; /* of what is believed of it; below 0: nothing */
 } rt_pick_t;
 void rt_pick(rt_t *rt, const rt_shard_t *sh, rt_why_t why, usec_t now,
 	     rt_pick_t *p);
@@ -229,7 +237,7 @@
 void rt_pick_probe(rt_t *rt, const rt_shard_t *sh, usec_t now, rt_pick_t *p);
 
 /* rt_wait.c: shards that wait until a server has room. */
-void rt_wait_push(rt_t *rt, rt_shard_t *sh);
+void rt_wait_push(rt_t *rt, rt_shard_t *sh, usec_t now);
 void rt_wait_remove(rt_t *rt, rt_shard_t *sh);
 void rt_wait_drain(rt_t *rt, rt_svc_t *svc, usec_t now);
 /* How long a new request of that priority would wait. */
--- a/route/route.h
+++ b/route/route.h
@@ -212,10 +212,13 @@
 	rt_why_t why;
 	str_t id; /**< of the request */
 	str_t service;
-	str_t server; /**< its id */
-	uint64_t n;   /**< candidates, shards or a version; by what */
-	usec_t value; /**< expected or taken time; by what */
-	bool failure; /**< of a request that fails, or a changed belief */
+	str_t server;	    /**< its id */
+	rt_result_t result; /**< of a reply; else RT_RESULT_MAX */
+	uint64_t n;	    /**< candidates, shards or a version; by what */
+	usec_t value;	    /**< expected or taken time; by what */
+	usec_t age; /**< of what is believed of the server; below 0: none */
+	uint64_t version; /**< of the configuration that the request has */
+	bool failure;	  /**< of a request that fails, or a changed belief */
 } rt_line_t;
 
 /** One action; what it points to lasts until the next rt_next_act(). */
@@ -341,6 +344,24 @@
 /** The value of a counter. */
 uint64_t rt_counter(const rt_t *rt, rt_counter_t k);
 
+/** Upper bounds of the parts of a histogram, in microseconds. */
+#define RT_HIST_PARTS 14
+extern const usec_t rt_hist_bounds[RT_HIST_PARTS];
+
+/** Times counted by parts; the last part has no upper bound. */
+typedef struct rt_hist {
+	uint64_t count[RT_HIST_PARTS + 1];
+	uint64_t total;
+	usec_t sum;
+} rt_hist_t;
+
+/** Requests by outcome, from arrival to answer. */
+const rt_hist_t *rt_hist_requests(const rt_t *rt, rt_outcome_t o);
+/** Sends by result, from send to reply. */
+const rt_hist_t *rt_hist_sends(const rt_t *rt, rt_result_t r);
+/** Time that shards waited for a server with room. */
+const rt_hist_t *rt_hist_waits(const rt_t *rt);
+
 /** Writes the greatest records of the bodies, greatest first. */
 size_t rt_merge(const str_t *bodies, size_t n, size_t record, size_t top,
 		char *out);
--- a/route/rt.c
+++ b/route/rt.c
@@ -109,7 +109,9 @@
 	}
 	rt_log(rt, &(rt_line_t){ .what = "configuration",
 				 .why = RT_WHY_NEW,
-				 .n = c->version,
+				 .result = RT_RESULT_MAX,
+				 .age = -1,
+				 .version = c->version,
 				 .failure = true });
 	if (rt->view)
 		rt_view_unref(rt->view);
@@ -137,6 +139,7 @@
 	idmap_del(&rt->attempts, aid);
 	s = a->server;
 	svc = s->svc;
+	rt_hist_add(&rt->sends[r], now - a->sent_at);
 	rt_server_ended(rt, a, r, now);
 	q = idmap_get(&rt->queries, a->query);
 	rt_log(rt, &(rt_line_t){ .what = "reply",
@@ -144,8 +147,10 @@
 				 .id = q ? q->id : STR(""),
 				 .service = svc->name,
 				 .server = s->id,
-				 .n = r,
+				 .result = r,
 				 .value = now - a->sent_at,
+				 .age = -1,
+				 .version = q ? q->view->conf->version : 0,
 				 .failure = r != RT_ANSWERED });
 	if (q && !q->over)
 		rt_shard_result(rt, &q->shards[a->shard], a, r, reply, now);
--- a/route/rt_pick.c
+++ b/route/rt_pick.c
@@ -222,6 +222,7 @@
 					       usual, now)]
 		       .s;
 	p->expected = (usec_t)expected(p->s, p->s->pace, usual, now);
+	p->age = p->s->sampled_at ? now - p->s->sampled_at : -1;
 }
 
 void rt_pick_probe(rt_t *rt, const rt_shard_t *sh, usec_t now, rt_pick_t *p)
@@ -241,5 +242,6 @@
 		return;
 	p->expected = (usec_t)expected(p->s, p->s->pace,
 				       rt_stat_usual(sh->q->stat), now);
+	p->age = p->s->sampled_at ? now - p->s->sampled_at : -1;
 	p->s->probed_at = now;
 }
--- a/route/rt_query.c
+++ b/route/rt_query.c
@@ -49,6 +49,8 @@
 	rt_log(rt, &(rt_line_t){ .what = "answer",
 				 .why = why,
 				 .id = r->id,
+				 .result = RT_RESULT_MAX,
+				 .age = -1,
 				 .failure = true });
 }
 
@@ -187,6 +189,7 @@
 		return;
 	q->over = true;
 	rt->counters[counters[a->outcome]]++;
+	rt_hist_add(&rt->requests[a->outcome], now - q->arrived);
 	if (a->outcome == RT_OUT_MERGED && a->missing) {
 		rt->counters[RT_CNT_COMPLETE]--;
 		rt->counters[RT_CNT_PARTIAL]++;
@@ -195,7 +198,10 @@
 				 .why = a->why,
 				 .id = q->id,
 				 .n = q->ndone,
+				 .result = RT_RESULT_MAX,
 				 .value = now - q->arrived,
+				 .age = -1,
+				 .version = q->view->conf->version,
 				 .failure = a->outcome > RT_OUT_MERGED ||
 					    a->missing });
 	to = &rt_act_add(rt, RT_ACT_ANSWER)->answer;
@@ -351,7 +357,10 @@
 				 .why = RT_WHY_LEFT,
 				 .id = q->id,
 				 .n = q->ndone,
-				 .value = now - q->arrived });
+				 .result = RT_RESULT_MAX,
+				 .value = now - q->arrived,
+				 .age = -1,
+				 .version = q->view->conf->version });
 	q->over = true;
 	q->next_at = now;
 	detach(rt, q, true);
--- a/route/rt_server.c
+++ b/route/rt_server.c
@@ -90,7 +90,9 @@
 				 .why = why,
 				 .service = s->svc->name,
 				 .server = s->id,
+				 .result = RT_RESULT_MAX,
 				 .value = value,
+				 .age = -1,
 				 .failure = true });
 }
 
--- a/route/rt_shard.c
+++ b/route/rt_shard.c
@@ -27,7 +27,10 @@
 				 .service = sh->svc->name,
 				 .server = p && p->s ? p->s->id : STR(""),
 				 .n = p ? p->candidates : sh->sends,
+				 .result = RT_RESULT_MAX,
 				 .value = p ? p->expected : 0,
+				 .age = p && p->s ? p->age : -1,
+				 .version = sh->q->view->conf->version,
 				 .failure = !p || why != RT_WHY_FIRST });
 }
 
@@ -156,7 +159,7 @@
 	rt_pick(rt, sh, why, now, &p);
 	if (!p.s && p.usable) {
 		log_shard(rt, sh, "wait", &p, RT_WHY_OVERLOAD);
-		rt_wait_push(rt, sh);
+		rt_wait_push(rt, sh, now);
 		return;
 	}
 	if (!p.s) {
--- a/route/rt_wait.c
+++ b/route/rt_wait.c
@@ -16,7 +16,7 @@
 	return a->q->soft < b->q->soft;
 }
 
-void rt_wait_push(rt_t *rt, rt_shard_t *sh)
+void rt_wait_push(rt_t *rt, rt_shard_t *sh, usec_t now)
 {
 	rt_svc_t *svc = sh->svc;
 	rt_shard_t *at = svc->tail;
@@ -36,6 +36,7 @@
 	svc->nwaiting++;
 	rt->nwaiting++;
 	rt->counters[RT_CNT_WAITED]++;
+	sh->waits_from = now;
 	sh->state = RT_SH_WAITING;
 }
 
@@ -77,6 +78,7 @@
 	/* Each is looked at once: one that cannot go queues again. */
 	while (n-- && (sh = svc->head) && has_room(rt, svc)) {
 		rt_wait_remove(rt, sh);
+		rt_hist_add(&rt->waits, now - sh->waits_from);
 		rt_shard_start(rt, sh, RT_WHY_FIRST, now);
 	}
 }
