--- a/ctl/ctl_trace.c
+++ b/ctl/ctl_trace.c
@@ -7,11 +7,18 @@
 
 static bool concerns(json_t *o, const char *id)
 {
-	const char *query = json_string_value(json_object_get(o, "query"));
-	const char *attempt = json_string_value(json_object_get(o, "attempt"));
+	/* A query or an attempt by this fleet's id, a routed request by the
+	 * caller's. */
+	static const char *const keys[] = { "query", "attempt", "request" };
+	const char *value;
+	size_t i;
 
-	return (query && strcmp(query, id) == 0) ||
-	       (attempt && strcmp(attempt, id) == 0);
+	for (i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
+		value = json_string_value(json_object_get(o, keys[i]));
+		if (value && strcmp(value, id) == 0)
+			return true;
+	}
+	return false;
 }
 
 static void read_log(json_t *rows, const char *file, const char *id)
@@ -67,10 +74,11 @@
 
 ctl_exit_t command_trace(ctl_t *c)
 {
-	static const char *const columns[] = { "log",	 "time",     "msg",
-					       "why",	 "attempt",  "group",
-					       "server", "snapshot", "n",
-					       "score",	 NULL };
+	static const char *const columns[] = {
+		"log",	 "time",   "msg",    "why",	 "attempt", "service",
+		"group", "server", "result", "snapshot", "version", "n",
+		"us",	 "age_us", "score",  NULL
+	};
 	json_t *rows = json_array();
 	ctl_exit_t status;
 	int i;
