A soak of real daemons, earlier words of servers ignored, registry apart

Change: each word of a process has a number; what is not newer than the last word of a server, or of one that went within a minute, is ignored. The stand-in's server comes back as another process. Servers as published stand in rt_registry.c.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
 
-PROGRAMS = geraniumslipd standin-upstream standin-platform scenario edge-test \
+PROGRAMS = geraniumslipd standin-upstream standin-platform scenario edge-test soak \
 	experiment spread bench unit deploy-marea-viva deploy-balapan
 ifneq ($(CTL),)
 PROGRAMS += geraniumslip
@@ -63,6 +63,11 @@
 	daemon/outside.c daemon/listen.c tests/edge_main.c)
 	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
 
+$(BUILD)/soak: $(call obj,$(BASE) $(ROUTE) $(FLEET) wire/wire_scan.c \
+	$(PLATFORM) $(WORLD) standin/http.c daemon/edge_http.c \
+	daemon/outside.c daemon/listen.c tests/soak/soak.c)
+	$(CC) -o $@ $^ $(LIBS)
+
 PLAY = $(filter-out tests/scenario_main.c,$(SCENARIO))
 $(BUILD)/experiment: $(call obj,$(BASE) $(CONF) $(LAB) $(PLAY) standin/experiment.c)
 	$(CC) -o $@ $^ $(LIBS)
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -202,11 +202,18 @@
 	return faults;
 }
 
+static bool has_policy(const settings_t *s)
+{
+	if (s->outside)
+		return rt_policy_by_name(str_of(s->policy)) != RT_POLICY_MAX;
+	return policy_by_name(str_of(s->policy)) != POLICY_MAX;
+}
+
 static unsigned check_relations(const char *file, const settings_t *s)
 {
 	unsigned faults = check_mode(file, s);
 
-	if (s->policy && policy_by_name(str_of(s->policy)) == POLICY_MAX) {
+	if (s->policy && !has_policy(s)) {
 		fprintf(stderr, "%s: /policy: no such policy: %s\n", file,
 			s->policy);
 		faults++;
--- a/route/libroute.h
+++ b/route/libroute.h
@@ -34,6 +34,7 @@
 	str_t dc;   /* owned */
 	struct rt_svc *svc;
 	uint64_t incarnation;
+	uint64_t report;
 	unsigned slots;
 	bool near;
 	bool draining;
@@ -52,6 +53,14 @@
 	usec_t probed_at;
 } rt_server_t;
 
+/* The last word of a server that is gone. */
+typedef struct rt_departed {
+	str_t id; /* owned */
+	uint64_t incarnation;
+	uint64_t report;
+	usec_t at;
+} rt_departed_t;
+
 /* A service, kept over versions of the configuration. */
 typedef struct rt_svc {
 	str_t name; /* owned */
@@ -152,6 +161,8 @@
 	size_t nstats;
 	strmap_t servers; /* by id */
 	idmap_t server_nums;
+	rt_departed_t *departed;
+	size_t ndeparted;
 	idmap_t attempts;
 	idmap_t queries;
 	rt_query_t *open; /* not answered yet */
@@ -198,7 +209,19 @@
 usec_t rt_stat_usual(const rt_stat_t *s);
 usec_t rt_stat_late(const rt_stat_t *s);
 
+/* To register again after an outage of the registry. */
+#define RT_LAPSE_WAIT (2 * USEC_PER_SEC)
+
+/* rt_registry.c: servers as they are published. */
+void rt_server_leave(rt_t *rt, rt_server_t *s, rt_why_t why, usec_t now);
+/* Frees it once it is gone and nothing is out to it. */
+void rt_server_release(rt_t *rt, rt_server_t *s);
+void rt_servers_free(rt_t *rt);
+
 /* rt_server.c: what is believed of servers. */
+void rt_server_log(rt_t *rt, const rt_server_t *s, rt_why_t why, usec_t value);
+/* Before the first answer. */
+double rt_server_first_pace(const rt_server_t *s);
 void rt_server_sent(rt_server_t *s, rt_attempt_t *a);
 void rt_server_ended(rt_t *rt, rt_attempt_t *a, rt_result_t r, usec_t now);
 /* Forgets a send that was broken off: that says nothing of the server. */
@@ -216,11 +239,7 @@
 double rt_svc_best_pace(const rt_svc_t *svc);
 /* Requests that this host may have out to it. */
 unsigned rt_server_cap(const rt_t *rt, const rt_server_t *s);
-void rt_server_leave(rt_t *rt, rt_server_t *s, rt_why_t why, usec_t now);
 void rt_server_sweep(rt_t *rt, usec_t now);
-/* Frees it once it is gone and nothing is out to it. */
-void rt_server_release(rt_t *rt, rt_server_t *s);
-void rt_servers_free(rt_t *rt);
 
 /* rt_pick.c: which server. */
 typedef struct rt_pick {
--- a/route/route.h
+++ b/route/route.h
@@ -93,7 +93,8 @@
 	unsigned slots;	      /**< requests that it works on at once */
 	bool draining;	      /**< it takes no new work */
 	usec_t warm_left;     /**< how much longer it is slow after its start */
-	uint64_t incarnation; /**< of the process behind the id, 0: not told */
+	uint64_t incarnation; /**< start of the process, rises; 0: not told */
+	uint64_t report;      /**< rises with each word of one process */
 } rt_entry_t;
 
 /** What became of one send to a server. */
@@ -148,8 +149,9 @@
 	RT_WHY_GONE,
 	RT_WHY_NEW,
 	RT_WHY_MOVED,
-	RT_WHY_WELL,   /**< a suspect server answered again */
-	RT_WHY_LAPSED, /**< it left the registry while that was away */
+	RT_WHY_WELL,	 /**< a suspect server answered again */
+	RT_WHY_OLD_WORD, /**< said earlier than what is known */
+	RT_WHY_LAPSED,	 /**< it left the registry while that was away */
 	RT_WHY_MAX,
 } rt_why_t;
 
--- a/route/rt.c
+++ b/route/rt.c
@@ -70,6 +70,9 @@
 	if (rt->view)
 		rt_view_unref(rt->view);
 	rt_servers_free(rt);
+	for (i = 0; i < rt->ndeparted; i++)
+		str_free(rt->departed[i].id);
+	free(rt->departed);
 	svcs_free(rt);
 	strmap_free(&rt->svcs);
 	strmap_free(&rt->stats);
--- a/route/rt_server.c
+++ b/route/rt_server.c
@@ -33,7 +33,6 @@
 #define SILENT_FACTOR 6
 /* What others tell does not stand against an own answer since then. */
 #define OWN_WORD (1 * USEC_PER_SEC)
-#define LAPSE_WAIT (2 * USEC_PER_SEC)	/* to register again after an outage */
 #define LATE_GRACE (40 * USEC_PER_MSEC) /* past a send's deadline */
 /* Part of a server's connections that is used: hosts come and go. */
 #define CONNECTIONS_USED 0.95
@@ -83,8 +82,7 @@
 		s->nlate--;
 }
 
-static void log_belief(rt_t *rt, const rt_server_t *s, rt_why_t why,
-		       usec_t value)
+void rt_server_log(rt_t *rt, const rt_server_t *s, rt_why_t why, usec_t value)
 {
 	rt_log(rt, &(rt_line_t){ .what = "server",
 				 .why = why,
@@ -96,7 +94,7 @@
 				 .failure = true });
 }
 
-static double first_pace(const rt_server_t *s)
+double rt_server_first_pace(const rt_server_t *s)
 {
 	return s->near ? PACE_NEAR : PACE_FAR;
 }
@@ -127,7 +125,7 @@
 
 double rt_server_pace(const rt_server_t *s, double best, usec_t now)
 {
-	double base = best * first_pace(s), off = cost(s) - base;
+	double base = best * rt_server_first_pace(s), off = cost(s) - base;
 	usec_t age = now - s->sampled_at;
 
 	/* What is known to be slow stays so until a probe tells otherwise. */
@@ -146,7 +144,7 @@
 
 	if (was_slow == is_slow(s))
 		return;
-	log_belief(rt, s, was_slow ? RT_WHY_WELL : RT_WHY_SLOW, took);
+	rt_server_log(rt, s, was_slow ? RT_WHY_WELL : RT_WHY_SLOW, took);
 	a = rt_act_add(rt, RT_ACT_TELL);
 	a->tell.server_id = arena_str(&rt->scratch, s->id);
 	a->tell.pace = s->pace;
@@ -172,7 +170,7 @@
 	s->pace = pace + weight * (ratio - pace);
 	s->failing -= FAIL_WEIGHT * s->failing;
 	if (s->fail_streak > 1)
-		log_belief(rt, s, RT_WHY_WELL, 0);
+		rt_server_log(rt, s, RT_WHY_WELL, 0);
 	s->fail_streak = 0;
 	tell_crossing(rt, s, was_slow, took);
 }
@@ -219,9 +217,9 @@
 	    r == RT_NOT_SENT)
 		s->avoid_until = now + wait;
 	if (s->fail_streak == 1 || s->avoid_until > now)
-		log_belief(rt, s,
-			   r == RT_NOT_SENT ? RT_WHY_NO_SERVER : RT_WHY_LOST,
-			   s->avoid_until > now ? s->avoid_until - now : 0);
+		rt_server_log(rt, s,
+			      r == RT_NOT_SENT ? RT_WHY_NO_SERVER : RT_WHY_LOST,
+			      s->avoid_until > now ? s->avoid_until - now : 0);
 	tell_crossing(rt, s, was_slow, 0);
 }
 
@@ -273,151 +271,6 @@
 	return cost(s) > PACE_SLOW * best && now - s->sampled_at >= period / 2;
 }
 
-void rt_server_leave(rt_t *rt, rt_server_t *s, rt_why_t why, usec_t now)
-{
-	(void)now;
-	if (why == RT_WHY_DRAINING ? s->draining : s->gone)
-		return;
-	if (why == RT_WHY_DRAINING)
-		s->draining = true;
-	else
-		s->gone = true;
-	log_belief(rt, s, why, 0);
-	if (s->gone)
-		rt_act_add(rt, RT_ACT_CLOSE)->server.server = s->num;
-}
-
-static void remove_from_service(rt_server_t *s)
-{
-	rt_svc_t *svc = s->svc;
-	size_t i;
-
-	for (i = 0; i < svc->n; i++)
-		if (svc->v[i] == s) {
-			svc->v[i] = svc->v[--svc->n];
-			return;
-		}
-}
-
-static void server_free(rt_t *rt, rt_server_t *s)
-{
-	remove_from_service(s);
-	/* Another process may have the id by now. */
-	if (strmap_get(&rt->servers, s->id) == s)
-		strmap_del(&rt->servers, s->id);
-	idmap_del(&rt->server_nums, s->num);
-	str_free(s->id);
-	str_free(s->addr);
-	str_free(s->dc);
-	free(s);
-}
-
-void rt_server_release(rt_t *rt, rt_server_t *s)
-{
-	if (s->gone && s->inflight == 0)
-		server_free(rt, s);
-}
-
-static rt_server_t *server_new(rt_t *rt, const rt_entry_t *e)
-{
-	rt_server_t *s = xcalloc(1, sizeof(*s));
-	rt_svc_t *svc = rt_svc_get(rt, e->service);
-
-	s->num = idmap_add(&rt->server_nums, s);
-	s->id = str_dup(e->id);
-	s->addr = str_dup(e->addr);
-	s->dc = str_dup(e->dc);
-	s->svc = svc;
-	s->near = str_eq(s->dc, rt->dc);
-	s->pace = first_pace(s);
-	if (svc->n == svc->room) {
-		svc->room = svc->room ? svc->room * 2 : 8;
-		svc->v = xrealloc(svc->v, svc->room * sizeof(s));
-	}
-	svc->v[svc->n++] = s;
-	strmap_put(&rt->servers, s->id, s);
-	return s;
-}
-
-/* A known id with another process, address or service is another server. */
-static bool same_process(const rt_server_t *s, const rt_entry_t *e)
-{
-	return !s->gone && str_eq(s->addr, e->addr) &&
-	       str_eq(s->svc->name, e->service) &&
-	       s->incarnation == e->incarnation;
-}
-
-/* Makes room for a new server under the id; the old one runs out. */
-static void retire(rt_t *rt, rt_server_t *s, usec_t now)
-{
-	rt_server_leave(rt, s, RT_WHY_GONE, now);
-	strmap_del(&rt->servers, s->id);
-	rt_server_release(rt, s);
-}
-
-void rt_entry(rt_t *rt, const rt_entry_t *e, usec_t now)
-{
-	rt_server_t *s = strmap_get(&rt->servers, e->id);
-	rt_act_t *a;
-
-	if (s && !same_process(s, e)) {
-		retire(rt, s, now);
-		s = NULL;
-	}
-	if (!s) {
-		s = server_new(rt, e);
-		log_belief(rt, s, RT_WHY_NEW, 0);
-		s->incarnation = e->incarnation;
-		a = rt_act_add(rt, RT_ACT_OPEN);
-		a->server.server = s->num;
-		a->server.addr = arena_str(&rt->scratch, s->addr);
-		a->server.warm = s->near && !e->draining ? 1 : 0;
-		a->server.keep = s->near;
-	}
-	s->slots = e->slots ? e->slots : 1;
-	s->warm_at = e->warm_left > 0 ? now + e->warm_left : 0;
-	s->lapsed_at = 0;
-	if (e->draining)
-		rt_server_leave(rt, s, RT_WHY_DRAINING, now);
-	rt_wait_drain(rt, s->svc, now);
-}
-
-/*
- * Leases run out while the registry is away though their servers live. One
- * that lapsed so is kept as a last choice until it had time to register.
- */
-static bool may_be_lapse(const rt_t *rt, usec_t now)
-{
-	return rt->registry_back_at && now - rt->registry_back_at < LAPSE_WAIT;
-}
-
-void rt_gone(rt_t *rt, str_t id, usec_t now)
-{
-	rt_server_t *s = strmap_get(&rt->servers, id);
-
-	if (!s || s->gone)
-		return;
-	if (may_be_lapse(rt, now)) {
-		if (!s->lapsed_at)
-			log_belief(rt, s, RT_WHY_LAPSED, LAPSE_WAIT);
-		s->lapsed_at = rt->registry_back_at;
-		return;
-	}
-	rt_server_leave(rt, s, RT_WHY_GONE, now);
-	rt_server_release(rt, s);
-}
-
-void rt_registry(rt_t *rt, bool up, usec_t now)
-{
-	if (up == rt->registry_up)
-		return;
-	rt->registry_up = up;
-	if (up)
-		rt->registry_back_at = now;
-	else
-		rt->registry_lost_at = now;
-}
-
 /* No answer for so long says as much as a slow one. */
 static void note_silence(rt_t *rt, rt_attempt_t *a, usec_t now)
 {
@@ -449,7 +302,7 @@
 		/* What follows may have been ended along with it. */
 		return;
 	}
-	if (s->lapsed_at && now - s->lapsed_at >= LAPSE_WAIT)
+	if (s->lapsed_at && now - s->lapsed_at >= RT_LAPSE_WAIT)
 		rt_server_leave(rt, s, RT_WHY_GONE, now);
 	rt_server_release(rt, s);
 }
@@ -465,15 +318,3 @@
 			sweep_server(rt, s, now);
 	}
 }
-
-void rt_servers_free(rt_t *rt)
-{
-	uint32_t i;
-	rt_server_t *s;
-
-	for (i = 0; i < rt->server_nums.n; i++) {
-		s = idmap_at(&rt->server_nums, i);
-		if (s)
-			server_free(rt, s);
-	}
-}
--- a/standin/world.c
+++ b/standin/world.c
@@ -265,6 +265,7 @@
 	w->servers = g_ptr_array_new();
 	w->daemons = g_ptr_array_new();
 	w->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	w->once = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->revision = 100;
 	w->store_listener = world_listen(w, on_store_accept, w, w->store_addr);
 	return w;
@@ -472,14 +473,28 @@
 	bufferevent_free(bev);
 }
 
-static void daemon_free(world_daemon_t *d)
+void world_restart(world_daemon_t *d)
+{
+	start_process(d);
+}
+
+void world_keep_logs(world_t *w)
+{
+	w->keep_logs = true;
+	printf("logs are kept in %s\n", w->dir);
+}
+
+static void daemon_free(world_daemon_t *d, bool keep)
 {
 	if (d->pid > 0) {
 		kill(d->pid, SIGKILL);
+		kill(d->pid, SIGCONT);
 		waitpid(d->pid, NULL, 0);
 	}
-	g_unlink(d->settings);
-	g_unlink(d->log);
+	if (!keep) {
+		g_unlink(d->settings);
+		g_unlink(d->log);
+	}
 	g_free(d->settings);
 	g_free(d->log);
 	g_free(d);
@@ -490,7 +505,7 @@
 	guint i;
 
 	for (i = 0; i < w->daemons->len; i++)
-		daemon_free(w->daemons->pdata[i]);
+		daemon_free(w->daemons->pdata[i], w->keep_logs);
 	/* Lets connections of ended daemons close. */
 	world_pass(w, 50);
 	for (i = 0; i < w->servers->len; i++)
@@ -504,6 +519,7 @@
 	g_ptr_array_free(w->servers, TRUE);
 	g_ptr_array_free(w->daemons, TRUE);
 	g_hash_table_destroy(w->runs);
+	g_hash_table_destroy(w->once);
 	g_rmdir(w->dir);
 	g_free(w->dir);
 	event_base_free(w->base);
--- a/standin/world.h
+++ b/standin/world.h
@@ -41,6 +41,9 @@
 	fault_t fault;
 	unsigned nfaults; /**< requests that meet the fault */
 	unsigned work_ms;
+	unsigned born; /**< rises with each start */
+	unsigned seq;  /**< rises with each word of one start */
+	bool left;     /**< it said that it drains */
 	unsigned runs;
 	unsigned broken; /**< connections that callers closed during work */
 } world_server_t;
@@ -71,6 +74,8 @@
 	unsigned store_calls;
 	GPtrArray *servers; /**< world_server_t */
 	GHashTable *runs;   /**< id of a request to how often it ran */
+	GHashTable *once;   /**< ids of those that ran on a path /once/ */
+	bool keep_logs;
 	GPtrArray *daemons; /**< world_daemon_t */
 } world_t;
 
@@ -97,6 +102,10 @@
 void world_publish(world_server_t *s, const char *state);
 /** Starts a daemon; seeds are those that run. */
 world_daemon_t *world_daemon(world_t *w, const char *dc);
+/** Starts a daemon that has ended again, as it was. */
+void world_restart(world_daemon_t *d);
+/** Leaves settings and logs of daemons in the world's directory. */
+void world_keep_logs(world_t *w);
 /** Waits until it is ready, or not; false after two seconds more. */
 bool world_wait_ready(world_t *w, world_daemon_t *d, bool ready, unsigned ms);
 /** Lets the loop run. */
--- a/standin/world_server.c
+++ b/standin/world_server.c
@@ -81,7 +81,11 @@
 	GHashTable *runs = c->w->runs;
 	guint n = GPOINTER_TO_UINT(g_hash_table_lookup(runs, id));
 
+	str_t target = http_msg_start(&c->msg);
+
 	c->server->runs++;
+	if (target.sz > 6 && memcmp(target.s, "/once/", 6) == 0)
+		g_hash_table_add(c->w->once, g_strdup(id));
 	g_hash_table_replace(runs, g_strdup(id), GUINT_TO_POINTER(n + 1));
 }
 
@@ -263,12 +267,21 @@
 	char *key = g_strdup_printf("servers/%s", s->id);
 	char *value = NULL;
 
+	/* Who drained ends: what comes back is another process. */
+	if (state && s->left && strcmp(state, "ready") == 0) {
+		s->born++;
+		s->seq = 0;
+		s->left = false;
+	}
+	if (state && strcmp(state, "draining") == 0)
+		s->left = true;
 	if (state)
 		value = g_strdup_printf(
 			"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":"
 			"\"%s\",\"version\":\"v1\",\"slots\":3,\"state\":"
-			"\"%s\",\"warmupLeftMs\":0,\"seq\":1,\"born\":5}",
-			s->service, s->addr, s->dc, state);
+			"\"%s\",\"warmupLeftMs\":0,\"seq\":%u,\"born\":%u}",
+			s->service, s->addr, s->dc, state, ++s->seq,
+			5 + s->born);
 	world_put(s->w, key, value);
 	g_free(value);
 	g_free(key);
--- a/tests/doc-comments.sh
+++ b/tests/doc-comments.sh
@@ -9,7 +9,8 @@
 		bad=1
 	}
 done
-for f in base/base.h conf/conf.h core/core.h; do
+for f in base/base.h conf/conf.h core/core.h route/route.h fleet/fleet.h \
+	daemon/outside.h daemon/libedge.h standin/world.h; do
 	awk -v f="$f" '
 		/^[a-z].*\(/ && !/typedef|__attribute__|G_GNUC/ &&
 		prev !~ /\*\/$/ && prev !~ /;$/ {
--- /dev/null
+++ b/tests/platform-names.sh
@@ -0,0 +1,14 @@
+#!/bin/sh
+# The names of the users' platform (header lines, fields, paths) stand in
+# platform/, tests/ and standin/ only.
+set -eu
+names='Part-Stamps|Missing-Parts|Expect-Instance|Server-Stamp|Not-Executed'
+names="$names|Deadline-Ms|Instance-Id|oldestVersion|routeType|kv-watch|kv-range"
+names="$names|targetLatencyMs|maxAttempts|warmupLeftMs|healthPath|atRev"
+found=$(git ls-files -co --exclude-standard '*.c' '*.h' |
+	grep -vE '^(platform|tests|standin)/' | xargs grep -nE "$names" |
+	grep -v 'Gs-Deadline-Ms' || true)
+[ -z "$found" ] && exit 0
+echo "names of the platform outside platform/:"
+echo "$found"
+exit 1
--- a/tests/unit_route.c
+++ b/tests/unit_route.c
@@ -127,11 +127,13 @@
 	return c;
 }
 
-static void add_server(rig_t *r, unsigned service, unsigned copy,
-		       const char *state, uint64_t incarnation)
+static void publish(rig_t *r, unsigned service, unsigned copy,
+		    const char *state, uint64_t incarnation, uint64_t report)
 {
 	char id[24], svc[24], addr[32];
-	rt_entry_t e = { .slots = 3, .incarnation = incarnation };
+	rt_entry_t e = { .slots = 3,
+			 .incarnation = incarnation,
+			 .report = report };
 
 	snprintf(id, sizeof(id), "i%u-%u", service, copy);
 	snprintf(addr, sizeof(addr), "127.0.0.1:%u",
@@ -145,6 +147,12 @@
 	run_acts(r);
 }
 
+static void add_server(rig_t *r, unsigned service, unsigned copy,
+		       const char *state, uint64_t incarnation)
+{
+	publish(r, service, copy, state, incarnation, 1);
+}
+
 static rig_t *rig_bare(unsigned fleet)
 {
 	rig_t *r = xcalloc(1, sizeof(*r));
@@ -662,6 +670,42 @@
 	}
 }
 
+/* An earlier word of a server is written after its last one. */
+static void test_old_words(void)
+{
+	static const struct {
+		bool removed; /* else it drains */
+		uint64_t incarnation;
+		uint64_t report;
+		bool used; /* afterwards */
+	} cases[] = {
+		{ false, 7, 2, false }, { false, 6, 9, false },
+		{ false, 8, 1, true },	{ true, 7, 3, false },
+		{ true, 7, 2, false },	{ true, 6, 9, false },
+		{ true, 7, 4, true },	{ true, 8, 1, true },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		rig_t *r = rig_bare(9);
+
+		rt_adopt(r->rt, make_conf(1, 0), r->now);
+		publish(r, 0, 0, "ready", 7, 2);
+		if (cases[i].removed) {
+			publish(r, 0, 0, "ready", 7, 3);
+			rt_gone(r->rt, STR("i0-0"), r->now);
+		} else {
+			publish(r, 0, 0, "draining", 7, 3);
+		}
+		run_acts(r);
+		publish(r, 0, 0, "ready", cases[i].incarnation,
+			cases[i].report);
+		ask(r, "/one/x", r);
+		CU_ASSERT_EQUAL(r->nsent, cases[i].used ? 1 : 0);
+		rig_free(r);
+	}
+}
+
 /* Leases that run out while the registry is away: used as a last choice for
  * two seconds after its return, then gone. */
 static void test_lapse(void)
@@ -832,6 +876,7 @@
 		{ "server that refuses or fails a part", test_shedding_server },
 		{ "neighbours' words", test_told },
 		{ "leaving servers", test_draining },
+		{ "earlier words of servers", test_old_words },
 		{ "lapsed servers", test_lapse },
 		{ "versions only rise", test_versions },
 		{ "caller left", test_left },
