--- a/daemon/edge_link.c
+++ b/daemon/edge_link.c
@@ -57,6 +57,7 @@
 	edge_t *e;
 	GHashTable *targets; /* server to target_t */
 	GHashTable *busy;    /* attempt to link_t */
+	GHashTable *open;    /* every link_t */
 	struct event *look;
 };
 
@@ -78,6 +79,7 @@
 	if (k->aid)
 		g_hash_table_remove(k->all->busy, &k->aid);
 	t->n--;
+	g_hash_table_remove(k->all->open, k);
 	bufferevent_free(k->bev);
 	http_msg_clear(&k->msg);
 	free(k);
@@ -101,6 +103,7 @@
 	bufferevent_set_timeouts(k->bev, NULL, &limit);
 	bufferevent_enable(k->bev, EV_READ | EV_WRITE);
 	t->n++;
+	g_hash_table_add(l->open, k);
 	if (bufferevent_socket_connect(k->bev, (struct sockaddr *)&sa,
 				       sizeof(sa)) == 0)
 		return k;
@@ -456,6 +459,7 @@
 	l->e = e;
 	l->targets = g_hash_table_new(g_int64_hash, g_int64_equal);
 	l->busy = g_hash_table_new(g_int64_hash, g_int64_equal);
+	l->open = g_hash_table_new(NULL, NULL);
 	l->look = event_new(e->base, -1, EV_PERSIST, on_look, l);
 	evtimer_add(l->look, &period);
 	return l;
@@ -463,11 +467,23 @@
 
 void links_free(links_t *l)
 {
+	GHashTableIter it;
+	gpointer v;
+
 	if (!l)
 		return;
-	/* The process ends: the kernel closes what is open. */
 	event_free(l->look);
+	for (;;) {
+		g_hash_table_iter_init(&it, l->open);
+		if (!g_hash_table_iter_next(&it, &v, NULL))
+			break;
+		link_free(v);
+	}
+	g_hash_table_iter_init(&it, l->targets);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		free(v);
 	g_hash_table_destroy(l->targets);
 	g_hash_table_destroy(l->busy);
+	g_hash_table_destroy(l->open);
 	free(l);
 }
--- a/standin/world_server.c
+++ b/standin/world_server.c
@@ -12,6 +12,7 @@
 static void on_read(struct bufferevent *bev, void *arg)
 {
 	world_conn_t *c = arg;
+	bool store = !c->server;
 
 	if (c->working)
 		return;
@@ -19,8 +20,9 @@
 		world_conn_free(c, true);
 	} else if (c->msg.done) {
 		c->working = true;
+		/* A server's fault may end the connection here. */
 		c->on_request(c);
-		if (!c->server)
+		if (store)
 			world_conn_next(c);
 	}
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -287,8 +287,11 @@
 		}
 		if (waitpid(r->d[i]->pid, &status, WNOHANG) != r->d[i]->pid)
 			continue;
-		if (!WIFSIGNALED(status) && WEXITSTATUS(status))
+		if (!WIFSIGNALED(status) && WEXITSTATUS(status)) {
+			printf("status %d, stopping %d\n", WEXITSTATUS(status),
+			       r->stopping[i]);
 			broken(r, "a daemon ended by itself", r->d[i]->name);
+		}
 		if (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL)
 			broken(r, "a daemon crashed", r->d[i]->name);
 		r->stopping[i] = false;
@@ -435,6 +438,7 @@
 	g_option_context_add_main_entries(ctx, entries, NULL);
 	if (!g_option_context_parse(ctx, &argc, &argv, NULL))
 		return EXIT_FAILURE;
+	g_option_context_free(ctx);
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	for (i = 0; i < count; i++)
 		faults += soak((uint64_t)(first + i), (unsigned)ms);
