--- a/route/rt_wait.c
+++ b/route/rt_wait.c
@@ -1,8 +1,8 @@
 /**
  * @file rt_wait.c
  * Shards that wait until a server of their service has room. The more
- * urgent go first; among equals those that can still be in time, then the
- * one whose time ends first.
+ * urgent go first; among equals the one whose caller's time ends first, so
+ * that those who come back are not put behind newcomers.
  *
  * Load pattern: more requests come at once than the servers take, or some
  * of the servers are gone, so that a queue grows at this host.
@@ -13,7 +13,8 @@
 {
 	if (a->q->route->priority != b->q->route->priority)
 		return a->q->route->priority < b->q->route->priority;
-	return a->q->soft < b->q->soft;
+	/* Who comes back after a refusal has less time left than newcomers. */
+	return a->q->deadline < b->q->deadline;
 }
 
 void rt_wait_push(rt_t *rt, rt_shard_t *sh, usec_t now)
--- a/tests/unit_route.c
+++ b/tests/unit_route.c
@@ -188,9 +188,10 @@
 	free(r);
 }
 
-static void ask(rig_t *r, const char *path, void *caller)
+static void ask_within(rig_t *r, const char *path, void *caller, usec_t left)
 {
 	rt_request_t q = { .caller = caller,
+			   .left = left,
 			   .id = STR("q"),
 			   .host = STR("h"),
 			   .path = str_of(path) };
@@ -199,6 +200,11 @@
 	run_acts(r);
 }
 
+static void ask(rig_t *r, const char *path, void *caller)
+{
+	ask_within(r, path, caller, 0);
+}
+
 static void end_with(rig_t *r, size_t i, rt_result_t res, const char *body)
 {
 	rt_reply_t *reply = NULL;
@@ -480,6 +486,23 @@
 	rig_free(r);
 }
 
+/* Refused callers come back into a queue of newcomers: they have waited, and
+ * go first. */
+static void test_come_back(void)
+{
+	rig_t *r = rig_new(100, 1);
+	int callers[3];
+
+	ask(r, "/one/x", &callers[0]);
+	ask(r, "/one/x", &callers[1]);
+	pass(r, 20 * MS);
+	ask_within(r, "/one/x", &callers[2], 700 * MS);
+	end_with(r, 0, RT_ANSWERED, "x");
+	CU_ASSERT_EQUAL(r->nsent, 2);
+	CU_ASSERT_PTR_EQUAL(r->sent[1].caller, &callers[2]);
+	rig_free(r);
+}
+
 static void test_overload(void)
 {
 	rig_t *r = rig_new(100, 1);
@@ -870,6 +893,7 @@
 		{ "what runs once", test_once },
 		{ "what runs once and stays silent", test_once_silent },
 		{ "the urgent wait less", test_wait },
+		{ "those who come back", test_come_back },
 		{ "what cannot be in time is refused", test_overload },
 		{ "budget of all hosts", test_budget },
 		{ "slow server", test_slow_server },
