--- a/route/libroute.h
+++ b/route/libroute.h
@@ -124,7 +124,6 @@
 	usec_t soft;	/* from then on an incomplete answer will do */
 	usec_t next_at; /* nothing is to be done for it before */
 	bool over;
-	bool may_have_run;
 	size_t ndone;
 	size_t nfailed;
 	size_t nshards;
@@ -169,7 +168,6 @@
 	size_t nopen;
 	size_t nwaiting;
 	bool registry_up;
-	usec_t registry_lost_at;
 	usec_t registry_back_at; /* 0: never lost */
 	usec_t next_sweep;
 	rt_act_t *acts;
--- a/route/route.h
+++ b/route/route.h
@@ -137,7 +137,6 @@
 	RT_WHY_DEADLINE,  /**< the time is over */
 	RT_WHY_OBJECTIVE, /**< answered with what there is, in time */
 	RT_WHY_COVERAGE,  /**< too few shards can still answer */
-	RT_WHY_ATTEMPTS,  /**< the route allows no further send */
 	RT_WHY_BUDGET,	  /**< further sends would load the service too much */
 	RT_WHY_COMPLETE,
 	RT_WHY_LEFT,	/**< the caller closed its connection */
--- a/route/rt_act.c
+++ b/route/rt_act.c
@@ -17,7 +17,6 @@
 	[RT_WHY_DEADLINE] = "deadline",
 	[RT_WHY_OBJECTIVE] = "objective",
 	[RT_WHY_COVERAGE] = "coverage",
-	[RT_WHY_ATTEMPTS] = "attempts",
 	[RT_WHY_BUDGET] = "budget",
 	[RT_WHY_COMPLETE] = "complete",
 	[RT_WHY_LEFT] = "caller_left",
--- a/route/rt_registry.c
+++ b/route/rt_registry.c
@@ -220,8 +220,6 @@
 	rt->registry_up = up;
 	if (up)
 		rt->registry_back_at = now;
-	else
-		rt->registry_lost_at = now;
 }
 
 void rt_servers_free(rt_t *rt)
--- a/route/rt_server.c
+++ b/route/rt_server.c
@@ -1,10 +1,11 @@
 /**
  * @file rt_server.c
- * What is believed of each server: the registry's word, how fast it answers,
- * and whether it fails. Only this host's own sends are evidence.
+ * What is believed of each server: how fast it answers and what share of
+ * requests it refuses or fails. Evidence are this host's own sends, and the
+ * words of neighbours where there is no fresh own one.
  *
- * Load patterns: servers that pause for a moment, that turn slow, that fail
- * a part of their requests, that start cold, that leave.
+ * Load patterns: servers that pause for a moment, that turn slow or silent,
+ * that refuse or fail a part of their requests.
  */
 #include <stdlib.h>
 
