--- a/standin/world.c
+++ b/standin/world.c
@@ -335,14 +335,15 @@
 	d->pid = fork();
 	if (d->pid)
 		return;
-	fd = open(d->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+	fd = d->unread ? d->unread
+		       : open(d->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 	dup2(fd, STDOUT_FILENO);
 	dup2(fd, STDERR_FILENO);
 	execl(daemon_path(), daemon_path(), "--settings", d->settings, NULL);
 	_exit(127);
 }
 
-world_daemon_t *world_daemon(world_t *w, const char *dc)
+static world_daemon_t *daemon_new(world_t *w, const char *dc)
 {
 	world_daemon_t *d = g_new0(world_daemon_t, 1);
 	char *addrs[] = { d->listen, d->ready, d->admin, d->peer };
@@ -355,6 +356,27 @@
 	d->log = g_strdup_printf("%s/%s.log", w->dir, d->name);
 	write_settings(w, d, dc);
 	g_ptr_array_add(w->daemons, d);
+	return d;
+}
+
+world_daemon_t *world_daemon(world_t *w, const char *dc)
+{
+	world_daemon_t *d = daemon_new(w, dc);
+
+	start_process(d);
+	return d;
+}
+
+world_daemon_t *world_daemon_unread(world_t *w, const char *dc)
+{
+	world_daemon_t *d = daemon_new(w, dc);
+	int ends[2];
+
+	/* The end that would read stays open, and is never read. */
+	if (pipe(ends) == 0) {
+		d->unread = ends[1];
+		w->pipe = ends[0];
+	}
 	start_process(d);
 	return d;
 }
@@ -502,6 +524,8 @@
 		kill(d->pid, SIGCONT);
 		waitpid(d->pid, NULL, 0);
 	}
+	if (d->unread)
+		close(d->unread);
 	if (!keep) {
 		g_unlink(d->settings);
 		g_unlink(d->log);
@@ -531,6 +555,8 @@
 	g_ptr_array_free(w->daemons, TRUE);
 	g_hash_table_destroy(w->runs);
 	g_hash_table_destroy(w->once);
+	if (w->pipe)
+		close(w->pipe);
 	g_rmdir(w->dir);
 	g_free(w->dir);
 	event_base_free(w->base);
--- a/standin/world.h
+++ b/standin/world.h
@@ -58,6 +58,7 @@
 	char peer[32];
 	char *settings; /**< path of the file */
 	char *log;	/**< path of its output */
+	int unread;	/**< a pipe that takes its output and is not read; 0 */
 } world_daemon_t;
 
 /** Everything of one test. */
@@ -76,6 +77,7 @@
 	GHashTable *runs;   /**< id of a request to how often it ran */
 	GHashTable *once;   /**< ids of those that ran on a path /once/ */
 	bool keep_logs;
+	int pipe;	    /**< the unread end of a daemon's output, or 0 */
 	GPtrArray *daemons; /**< world_daemon_t */
 } world_t;
 
@@ -102,6 +104,8 @@
 void world_publish(world_server_t *s, const char *state);
 /** Starts a daemon; seeds are those that run. */
 world_daemon_t *world_daemon(world_t *w, const char *dc);
+/** The same; its output goes into a pipe that nobody reads. */
+world_daemon_t *world_daemon_unread(world_t *w, const char *dc);
 /** Starts a daemon that has ended again, as it was. */
 void world_restart(world_daemon_t *d);
 /** Leaves settings and logs of daemons in the world's directory. */
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -395,6 +395,36 @@
 	world_free(r.w);
 }
 
+/* Nobody reads the log: its pipe fills, lines are dropped, and no request is
+ * late for it. At level debug a request writes about 800 bytes. */
+static void test_log_unread(void)
+{
+	enum { REQUESTS = 400 }; /* a pipe holds 64 kB, the queue 1 MB */
+	rig_t r = { .w = world_new() };
+	struct bufferevent *bev;
+	world_answer_t a;
+	usec_t worst = 0;
+	unsigned i;
+
+	put_conf(r.w, CONF_HEAD CONF_ALL CONF_ONE CONF_TAIL, 3);
+	world_server(r.w, "a", "x");
+	world_server(r.w, "b", "x");
+	r.d = world_daemon_unread(r.w, "x");
+	CU_ASSERT_FATAL(world_wait_ready(r.w, r.d, true, READY_MS));
+	bev = world_connect(r.w, r.d->listen);
+	for (i = 0; i < REQUESTS; i++) {
+		world_ask_on(r.w, bev, GET("/all/x", "log"), ASK_MS, &a);
+		CU_ASSERT_EQUAL(a.status, 200);
+		if (a.took > worst)
+			worst = a.took;
+		clear(&a);
+	}
+	/* The objective of the route is 300 ms. */
+	CU_ASSERT(worst < 300 * USEC_PER_MSEC);
+	bufferevent_free(bev);
+	world_free(r.w);
+}
+
 static void test_metrics(void)
 {
 	rig_t r = rig_new();
@@ -430,6 +460,7 @@
 		{ "planned stop", test_stop },
 		{ "reload", test_reload },
 		{ "refused at once", test_refused },
+		{ "the log is not read", test_log_unread },
 		{ "metrics", test_metrics },
 	};
 	unsigned failures;
--- a/tests/unit_core.c
+++ b/tests/unit_core.c
@@ -384,6 +384,7 @@
 			 .parts = &part,
 			 .nparts = 1 };
 	event_t list = { .kind = EV_LIST }, ev = { .kind = EV_PEER };
+	event_t failed = { .kind = EV_PEER_FAILED };
 	bench_t *b = begin(1000, 30);
 	conf_t *conf = make_conf(2, 1000, 30);
 
@@ -397,6 +398,11 @@
 	CU_ASSERT_EQUAL(b->snapshot, 0);
 	pass(b, 100 * USEC_PER_MSEC);
 	CU_ASSERT_EQUAL(b->nforwards, 1);
+	/* A message of another kind that failed may have the same token. */
+	failed.failed.kind = PEER_KEYED;
+	failed.failed.token = b->token;
+	step(b, &failed);
+	CU_ASSERT_EQUAL(b->nforwards, 1);
 	m.token = b->token;
 	ev.peer.msg = &m;
 	step(b, &ev);
