An earlier word of a server that went counts while a request is out to it

Cause: found by reading. A server that left the registry stays known until its last answer; meanwhile a word with the number of its last one, written late, brought it back. test_old_word_in_flight: red before (one check), green after. Change: of a server that went only a newer word counts.

--- a/route/rt_registry.c
+++ b/route/rt_registry.c
@@ -67,7 +67,8 @@
 	report = s ? s->report : d->report;
 	if (e->incarnation != incarnation)
 		return e->incarnation < incarnation;
-	return s ? e->report < report : e->report <= report;
+	/* What changes may be told twice; what went must not be. */
+	return s && !s->gone ? e->report < report : e->report <= report;
 }
 
 void rt_server_leave(rt_t *rt, rt_server_t *s, rt_why_t why, usec_t now)
--- a/tests/unit_route.c
+++ b/tests/unit_route.c
@@ -729,6 +729,26 @@
 	}
 }
 
+/* The same while a request is still out to the server that went. */
+static void test_old_word_in_flight(void)
+{
+	rig_t *r = rig_bare(9);
+
+	rt_adopt(r->rt, make_conf(1, 0), r->now);
+	publish(r, 0, 0, "ready", 7, 3);
+	ask(r, "/once/x", r);
+	CU_ASSERT_EQUAL(r->nsent, 1);
+	rt_gone(r->rt, STR("i0-0"), r->now);
+	publish(r, 0, 0, "ready", 7, 3);
+	ask(r, "/one/x", r);
+	CU_ASSERT_EQUAL(r->nsent, 1);
+	publish(r, 0, 0, "ready", 7, 4);
+	ask(r, "/one/x", r);
+	CU_ASSERT_EQUAL(r->nsent, 2);
+	end_with(r, 0, RT_ANSWERED, "x");
+	rig_free(r);
+}
+
 /* Leases that run out while the registry is away: used as a last choice for
  * two seconds after its return, then gone. */
 static void test_lapse(void)
@@ -901,6 +921,8 @@
 		{ "neighbours' words", test_told },
 		{ "leaving servers", test_draining },
 		{ "earlier words of servers", test_old_words },
+		{ "earlier words, with a request out",
+		  test_old_word_in_flight },
 		{ "lapsed servers", test_lapse },
 		{ "versions only rise", test_versions },
 		{ "caller left", test_left },
