--- a/daemon/edge_peer.c
+++ b/daemon/edge_peer.c
@@ -10,6 +10,7 @@
 #define LOOK_MS 250 /* between looks at what is due */
 #define MAX_GREETED 8
 #define MAX_FOLLOWERS 256
+/* Several questions fit into the time in which changes must be in force. */
 #define ASK_PERIOD (400 * USEC_PER_MSEC)
 #define SILENT_TIME (3 * USEC_PER_SEC) /* without the registry's word */
 
--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -15,6 +15,7 @@
 #define CALL_TIME (1500 * USEC_PER_MSEC) /* beyond what the call may wait */
 /* Between two watches: what changes meanwhile comes in one answer. */
 #define GATHER_TIME (800 * USEC_PER_MSEC)
+/* Each call costs, refused ones too; news must be in force in 3 s. */
 #define BACKOFF_MIN (150 * USEC_PER_MSEC)
 #define BACKOFF_MAX (1500 * USEC_PER_MSEC)
 #define HTTP_GONE 410
--- a/fleet/fleet_member.c
+++ b/fleet/fleet_member.c
@@ -9,19 +9,25 @@
 #include "fleet.h"
 
 #define GREET_EARLY (300 * USEC_PER_MSEC) /* while few are known */
+/* Four of them fit into ALIVE_TIME, so that one lost message does not count. */
 #define GREET_PERIOD (2 * USEC_PER_SEC)
+/* Until then the size in the settings counts if it is the larger one. */
 #define EARLY_TIME (3 * USEC_PER_SEC)
 #define ALIVE_TIME (9 * USEC_PER_SEC) /* since a member was heard of */
+/* As long as the fleet's size is remembered. */
 #define FORGET_TIME (60 * USEC_PER_SEC)
 /* The fleet is taken for as large as it was in the last minute: one that is
  * cut off must not think that it is alone with all budgets. */
 #define HOSTS_TIME (60 * USEC_PER_SEC)
 /* Hosts that come on top of those that are there, as part of them. */
 #define HOSTS_SPARE 8
+/* One may end or be cut off without its neighbours having to read. */
 #define READERS_PER_DC 2
 #define FOLLOW_MIN 6 /* in smaller data centres each host reads */
 #define WORD_TIME (2500 * USEC_PER_MSEC) /* then a follower reads itself */
+/* Keeps a follower from changing to and fro. */
 #define READ_AT_LEAST (3 * USEC_PER_SEC)
+/* Above the 2,600 hosts of the size to design for. */
 #define MAX_MEMBERS 4096
 
 typedef struct member {
--- a/route/rt.c
+++ b/route/rt.c
@@ -4,6 +4,7 @@
 #include "libroute.h"
 
 #define SWEEP_PERIOD (25 * USEC_PER_MSEC) /* while sends are out */
+/* Without sends only lapsed servers are looked at: half a second is soon. */
 #define IDLE_PERIOD (500 * USEC_PER_MSEC)
 #define FLEET_DEFAULT 12 /* hosts, where nothing better is known */
 #define CALLER_LINK                                                            \
--- a/route/rt_server.c
+++ b/route/rt_server.c
@@ -22,6 +22,8 @@
 #define FAIL_COST 6.0		    /* usual times that a failed send costs */
 #define FAIL_NONE 0.02		    /* a share that counts as none */
 #define FAIL_TOO_MANY 0.2	    /* share of failures to be avoided */
+/* Doubled with each failure in a row: from a server's short pause to the time
+ * in which a lost server is published as gone. */
 #define AVOID_MIN (150 * USEC_PER_MSEC)
 #define AVOID_MAX (2 * USEC_PER_SEC)
 /* A server gets some eight probes a second from all hosts together. */
