Send a second time earlier where further sends are plenty

Ruled out: the budget (two thirds of it were left), servers (the first answers have a median of 14 ms). Change: where over half of the allowed further sends are left, the second goes out three usual times before the answer is due, and 1.5 usual times after the first at the earliest.

--- a/route/libroute.h
+++ b/route/libroute.h
@@ -201,6 +201,9 @@
 bool rt_budget_take(rt_budget_t *b, const rt_params_t *p, usec_t now);
 /* How many further sends are left. */
 double rt_budget_left(rt_budget_t *b, const rt_params_t *p, usec_t now);
+/* Whether more than that share of the allowed further sends is left. */
+bool rt_budget_plenty(rt_budget_t *b, const rt_params_t *p, double share,
+		      usec_t now);
 
 /* rt_stat.c: how long answers take. */
 void rt_stat_note(rt_stat_t *s, usec_t took);
--- a/route/rt_budget.c
+++ b/route/rt_budget.c
@@ -63,9 +63,10 @@
 	b->first[slot(b->part)]++;
 }
 
-double rt_budget_left(rt_budget_t *b, const rt_params_t *p, usec_t now)
+/* Further sends that this host may make in the present window. */
+static double allowed(rt_budget_t *b, const rt_params_t *p, usec_t now)
 {
-	double allowed, firsts;
+	double firsts;
 	uint64_t before;
 
 	roll(b, p, now);
@@ -73,9 +74,19 @@
 	before = sum(b->first, b->part, RT_WINDOW_PARTS / 2);
 	if ((double)before > firsts)
 		firsts = (double)before;
-	allowed = SHARE_USED * p->extra_share * firsts +
-		  FIXED_USED * p->extra_fixed / p->fleet;
-	return allowed - (double)sum(b->extra, b->part, 0);
+	return SHARE_USED * p->extra_share * firsts +
+	       FIXED_USED * p->extra_fixed / p->fleet;
+}
+
+double rt_budget_left(rt_budget_t *b, const rt_params_t *p, usec_t now)
+{
+	return allowed(b, p, now) - (double)sum(b->extra, b->part, 0);
+}
+
+bool rt_budget_plenty(rt_budget_t *b, const rt_params_t *p, double share,
+		      usec_t now)
+{
+	return rt_budget_left(b, p, now) > share * allowed(b, p, now);
 }
 
 bool rt_budget_take(rt_budget_t *b, const rt_params_t *p, usec_t now)
--- a/route/rt_shard.c
+++ b/route/rt_shard.c
@@ -15,6 +15,10 @@
 #define HEDGE_RESERVE 1.5
 /* Usual times that a second send is given before the answer is due. */
 #define HEDGE_ROOM 3
+/* Usual times that the first send is given at least. */
+#define HEDGE_FIRST 1.5
+/* Share of the allowed further sends from which on they are not saved up. */
+#define HEDGE_PLENTY 0.5
 /* Before a server is asked again that refused: about one request's work. */
 #define AGAIN_MIN (10 * USEC_PER_MSEC)
 
@@ -63,14 +67,25 @@
 	return sh->q->soft - HEDGE_ROOM * rt_stat_usual(sh->q->stat);
 }
 
-static void arm_hedge(rt_shard_t *sh, usec_t now)
+/*
+ * When the first send counts as late: few answers take so long. Where further
+ * sends are plenty, also when a second one would come too late otherwise.
+ */
+static void arm_hedge(rt_t *rt, rt_shard_t *sh, usec_t now)
 {
 	rt_query_t *q = sh->q;
+	usec_t usual = rt_stat_usual(q->stat);
+	usec_t early = now + (usec_t)(HEDGE_FIRST * (double)usual);
 
 	sh->hedge_at = 0;
 	if (!q->route->idempotent)
 		return;
 	sh->hedge_at = now + rt_stat_late(q->stat);
+	if (early < hedge_time(sh))
+		early = hedge_time(sh);
+	if (early < sh->hedge_at &&
+	    rt_budget_plenty(&sh->svc->budget, &rt->p, HEDGE_PLENTY, now))
+		sh->hedge_at = early;
 	rt_query_wake(q, sh->hedge_at);
 }
 
@@ -120,7 +135,7 @@
 	act->send.deadline = a->deadline;
 	act->send.once = !q->route->idempotent;
 	log_shard(rt, sh, "send", p, p->why);
-	arm_hedge(sh, now);
+	arm_hedge(rt, sh, now);
 }
 
 static bool may_send(const rt_shard_t *sh);
