--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -30,14 +30,13 @@
 static void act_open(edge_t *e, const rt_act_t *act);
 static void act_close(edge_t *e, const rt_act_t *act);
 static void act_tell(edge_t *e, const rt_act_t *act);
-static void act_overdue(edge_t *e, const rt_act_t *act);
 static void act_log(edge_t *e, const rt_act_t *act);
 
 static const act_fn_t act_fns[RT_ACT_MAX] = {
 	[RT_ACT_SEND] = act_send,     [RT_ACT_CANCEL] = act_cancel,
 	[RT_ACT_ANSWER] = act_answer, [RT_ACT_OPEN] = act_open,
 	[RT_ACT_CLOSE] = act_close,   [RT_ACT_TELL] = act_tell,
-	[RT_ACT_OVERDUE] = act_overdue, [RT_ACT_LOG] = act_log,
+	[RT_ACT_LOG] = act_log,
 };
 
 /* What belongs to the run and not to the loop. */
@@ -87,11 +86,6 @@
 			 act->tell.failing);
 }
 
-static void act_overdue(edge_t *e, const rt_act_t *act)
-{
-	fleet_peers_overdue(e, act->tell.server_id);
-}
-
 static void act_log(edge_t *e, const rt_act_t *act)
 {
 	edge_log(e, &act->line, clock_now());
--- a/daemon/edge_peer.c
+++ b/daemon/edge_peer.c
@@ -30,13 +30,11 @@
 static void on_state(edge_t *e, const fleet_msg_t *m, usec_t now);
 static void on_leave(edge_t *e, const fleet_msg_t *m, usec_t now);
 static void on_pace(edge_t *e, const fleet_msg_t *m, usec_t now);
-static void on_overdue(edge_t *e, const fleet_msg_t *m, usec_t now);
 
 static const msg_fn_t msg_fns[FLEET_KINDS] = {
 	[FLEET_HELLO] = on_hello, [FLEET_WELCOME] = on_welcome,
 	[FLEET_ASK] = on_ask,	  [FLEET_STATE] = on_state,
 	[FLEET_LEAVE] = on_leave, [FLEET_PACE] = on_pace,
-	[FLEET_OVERDUE] = on_overdue,
 };
 
 static void send_msg(edge_t *e, str_t to, fleet_msg_t *m, usec_t now)
@@ -112,11 +110,6 @@
 		(double)m->failing / FLEET_UNIT, now);
 }
 
-static void on_overdue(edge_t *e, const fleet_msg_t *m, usec_t now)
-{
-	rt_told_overdue(e->rt, m->server, now);
-}
-
 static void receive_all(edge_t *e)
 {
 	arena_t mem = { 0 };
@@ -230,12 +223,6 @@
 	send_neighbours(e, &m);
 }
 
-void fleet_peers_overdue(edge_t *e, str_t server_id)
-{
-	send_neighbours(e, &(fleet_msg_t){ .kind = FLEET_OVERDUE,
-					   .server = server_id });
-}
-
 bool fleet_peers_start(edge_t *e)
 {
 	struct timeval period = { 0, LOOK_MS * 1000 };
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -143,8 +143,6 @@
 void fleet_peers_leave(edge_t *e);
 /** Tells neighbours how fast a server answers, and what share it fails. */
 void fleet_peers_tell(edge_t *e, str_t server_id, double pace, double failing);
-/** Tells neighbours that a server's answer is overdue. */
-void fleet_peers_overdue(edge_t *e, str_t server_id);
 void fleet_peers_free(edge_t *e);
 
 /* edge_log.c */
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -28,7 +28,6 @@
 	FLEET_STATE, /**< what changed after a revision */
 	FLEET_LEAVE, /**< the sender ends */
 	FLEET_PACE,  /**< how fast a server answers the sender */
-	FLEET_OVERDUE, /**< a server's answer to the sender is late */
 	FLEET_KINDS,
 } fleet_kind_t;
 
@@ -48,7 +47,7 @@
 	usec_t age;	/**< since the registry confirmed it; below 0: never */
 	uint64_t since; /**< of ASK and STATE: changes after it */
 	bool whole;	/**< of STATE: keys that are not named are gone */
-	str_t server;	/**< of PACE and OVERDUE: its id */
+	str_t server;	/**< of PACE: its id */
 	uint64_t pace;	/**< of PACE: its time over the usual, thousandths */
 	uint64_t failing; /**< of PACE: share that fails, thousandths */
 	fleet_told_t told[FLEET_MAX_TOLD];
--- a/route/libroute.h
+++ b/route/libroute.h
@@ -44,7 +44,6 @@
 	usec_t warm_at;	  /* until then it is slow */
 	unsigned inflight;
 	unsigned nlate;		/* of them, longer out than usual */
-	usec_t overdue_until;	/* a host waits for its answer; 0: none */
 	struct rt_attempt *out; /* newest first */
 	double pace;		/* its time over the usual time */
 	usec_t sampled_at;
@@ -107,7 +106,6 @@
 	rt_why_t why; /* of the last failure */
 	rt_reply_t *reply;
 	usec_t hedge_at;   /* 0: none */
-	usec_t overdue_at; /* 0: none; a send is out for too long then */
 	usec_t again_at;   /* 0: none; retry after a refusal */
 	usec_t waits_from; /* in the queue */
 	struct rt_shard *prev;
@@ -233,8 +231,6 @@
 bool rt_server_usable(const rt_server_t *s);
 /* Notes that a request is out to it for longer than usual. */
 void rt_server_late(rt_attempt_t *a);
-/* Tells neighbours of it, unless one of them was first. */
-void rt_server_overdue(rt_t *rt, rt_attempt_t *a, usec_t now);
 /* Whether it may be tried again after it was slow or failed. */
 bool rt_server_wants_probe(const rt_t *rt, const rt_server_t *s, double best,
 			   usec_t now);
--- a/route/route.h
+++ b/route/route.h
@@ -203,7 +203,6 @@
 	RT_ACT_OPEN,   /**< keep connections to a server open */
 	RT_ACT_CLOSE,  /**< a server is gone: close what is idle */
 	RT_ACT_TELL,   /**< tell neighbours that a server is slow or well */
-	RT_ACT_OVERDUE, /**< tell neighbours that a server's answer is late */
 	RT_ACT_LOG,
 	RT_ACT_MAX,
 } rt_act_kind_t;
@@ -248,7 +247,7 @@
 			str_t server_id;
 			double pace;	/**< its time over the usual time */
 			double failing; /**< share of sends that fail, 0 to 1 */
-		} tell; /**< of RT_ACT_OVERDUE the id alone */
+		} tell;
 		rt_line_t line;
 	};
 } rt_act_t;
@@ -302,8 +301,6 @@
 /** A neighbour tells how fast a server answers, and what share it fails. */
 void rt_told(rt_t *rt, str_t server_id, double pace, double failing,
 	     usec_t now);
-/** A neighbour waits longer than usual for a server's answer. */
-void rt_told_overdue(rt_t *rt, str_t server_id, usec_t now);
 /** Whether the registry answers. */
 void rt_registry(rt_t *rt, bool up, usec_t now);
 
--- a/route/rt_pick.c
+++ b/route/rt_pick.c
@@ -17,7 +17,7 @@
 /** How much a server is wanted; the best kind that there is, is used. */
 typedef enum rank {
 	RANK_GOOD,
-	RANK_LATE,   /* a request of some host is out to it for long */
+	RANK_LATE,   /* a request is out to it for long */
 	RANK_AVOID,  /* it failed lately */
 	RANK_LAPSED, /* the registry lost it */
 	RANK_TRIED,  /* this shard was there already */
@@ -74,11 +74,7 @@
 	t *= 1 + LOAD_FACTOR * s->inflight / s->slots;
 	if (!s->near)
 		t *= FAR_FACTOR;
-	if (now < s->warm_at)
-		t *= COLD_FACTOR;
-	/* Its pause is likely over by then. */
-	return now < s->overdue_until ? t + (double)(s->overdue_until - now) :
-					t;
+	return now < s->warm_at ? t * COLD_FACTOR : t;
 }
 
 static size_t choose_expected(rt_t *rt, rt_svc_t *svc, const cand_t *v,
--- a/route/rt_query.c
+++ b/route/rt_query.c
@@ -385,8 +385,6 @@
 		rt_query_wake(q, q->soft);
 	for (i = 0; !q->over && i < q->nshards; i++) {
 		rt_shard_time(rt, &q->shards[i], now);
-		if (!q->over && q->shards[i].overdue_at)
-			rt_query_wake(q, q->shards[i].overdue_at);
 		if (!q->over && q->shards[i].hedge_at)
 			rt_query_wake(q, q->shards[i].hedge_at);
 		if (!q->over && q->shards[i].again_at)
--- a/route/rt_server.c
+++ b/route/rt_server.c
@@ -34,9 +34,6 @@
  * more than a pause of the server. */
 #define SILENT_TIME (300 * USEC_PER_MSEC)
 #define SILENT_FACTOR 6
-/* How long a server is left alone whose answer to a host is overdue: a pause
- * of 150 to 200 ms is noticed when a third to a half of it is over. */
-#define OVERDUE_WORD (100 * USEC_PER_MSEC)
 /* What others tell does not stand against an own answer since then. */
 #define OWN_WORD (1 * USEC_PER_SEC)
 #define LATE_GRACE (40 * USEC_PER_MSEC) /* past a send's deadline */
@@ -73,27 +70,6 @@
 	a->server->nlate++;
 }
 
-void rt_server_overdue(rt_t *rt, rt_attempt_t *a, usec_t now)
-{
-	rt_server_t *s = a->server;
-
-	rt_server_late(a);
-	/* Neighbours hardly use what is in another data centre. */
-	if (!s->near || now < s->overdue_until)
-		return;
-	s->overdue_until = now + OVERDUE_WORD;
-	rt_act_add(rt, RT_ACT_OVERDUE)->tell.server_id =
-		arena_str(&rt->scratch, s->id);
-}
-
-void rt_told_overdue(rt_t *rt, str_t id, usec_t now)
-{
-	rt_server_t *s = strmap_get(&rt->servers, id);
-
-	if (s)
-		s->overdue_until = now + OVERDUE_WORD;
-}
-
 static void unlink_attempt(rt_attempt_t *a)
 {
 	rt_server_t *s = a->server;
@@ -193,7 +169,6 @@
 	if (!was_slow && s->failing < FAIL_NONE)
 		pace = rt_server_pace(s, rt_svc_best_pace(s->svc), now);
 	s->sampled_at = now;
-	s->overdue_until = 0;
 	rt_stat_note(a->stat, took);
 	s->pace = pace + weight * (ratio - pace);
 	s->failing -= FAIL_WEIGHT * s->failing;
--- a/route/rt_shard.c
+++ b/route/rt_shard.c
@@ -17,8 +17,6 @@
 #define HEDGE_ROOM 3
 /* Usual times that the first send is given at least. */
 #define HEDGE_FIRST 1.5
-/* Usual times after which an answer is overdue: 1 in 20 takes so long. */
-#define OVERDUE_FACTOR 2
 /* Share of the allowed further sends from which on they are not saved up. */
 #define HEDGE_PLENTY 0.5
 /* Before a server is asked again that refused: about one request's work. */
@@ -137,8 +135,6 @@
 	act->send.deadline = a->deadline;
 	act->send.once = !q->route->idempotent;
 	log_shard(rt, sh, "send", p, p->why);
-	sh->overdue_at = now + OVERDUE_FACTOR * rt_stat_usual(q->stat);
-	rt_query_wake(q, sh->overdue_at);
 	arm_hedge(rt, sh, now);
 }
 
@@ -225,24 +221,8 @@
 	shard_send(rt, sh, &p, now);
 }
 
-static void note_overdue(rt_t *rt, rt_shard_t *sh, usec_t now)
-{
-	usec_t limit = OVERDUE_FACTOR * rt_stat_usual(sh->q->stat);
-	rt_attempt_t *a;
-	unsigned i;
-
-	sh->overdue_at = 0;
-	for (i = 0; i < sh->nlive; i++) {
-		a = idmap_get(&rt->attempts, sh->live[i]);
-		if (a && now - a->sent_at >= limit)
-			rt_server_overdue(rt, a, now);
-	}
-}
-
 void rt_shard_time(rt_t *rt, rt_shard_t *sh, usec_t now)
 {
-	if (sh->overdue_at && sh->overdue_at <= now)
-		note_overdue(rt, sh, now);
 	if (sh->hedge_at && sh->hedge_at <= now)
 		hedge(rt, sh, now);
 	if (sh->again_at && sh->again_at <= now) {
@@ -287,7 +267,6 @@
 	rt_reply_unref(sh->reply);
 	sh->reply = reply;
 	sh->state = RT_SH_DONE;
-	sh->overdue_at = 0;
 	sh->hedge_at = 0;
 	sh->again_at = 0;
 	sh->q->ndone++;
