Learn the room of second sends from second sends

Cause: a second send went out 27 to 43 ms after the first where the answer is due after 66 ms, and takes 32 ms in the median, 43 ms at 90%: it mostly goes to another data centre and needs a connection. Change: room is the time that 85 of 100 second sends of the route need, three usual times at least.

--- a/route/libroute.h
+++ b/route/libroute.h
@@ -16,6 +16,7 @@
 	str_t name;  /* owned; of the route */
 	usec_t mean; /* decaying, of answers that were not hedged away */
 	usec_t late; /* quantile that few answers exceed */
+	usec_t second; /* the same of second sends; 0: none was answered */
 	uint64_t n;
 } rt_stat_t;
 
@@ -207,6 +208,10 @@
 
 /* rt_stat.c: how long answers take. */
 void rt_stat_note(rt_stat_t *s, usec_t took);
+/* An answer to a second send; these often need a new connection. */
+void rt_stat_note_second(rt_stat_t *s, usec_t took);
+/* Time that a second send needs. */
+usec_t rt_stat_second(const rt_stat_t *s);
 usec_t rt_stat_usual(const rt_stat_t *s);
 usec_t rt_stat_late(const rt_stat_t *s);
 
--- a/route/rt_shard.c
+++ b/route/rt_shard.c
@@ -13,8 +13,6 @@
 #define PROBE_RESERVE 3.0
 /* Further sends that must be left for retries: without one a shard fails. */
 #define HEDGE_RESERVE 1.5
-/* Usual times that a second send is given before the answer is due. */
-#define HEDGE_ROOM 3
 /* Usual times that the first send is given at least. */
 #define HEDGE_FIRST 1.5
 /* Share of the allowed further sends from which on they are not saved up. */
@@ -64,7 +62,7 @@
  */
 static usec_t hedge_time(const rt_shard_t *sh)
 {
-	return sh->q->soft - HEDGE_ROOM * rt_stat_usual(sh->q->stat);
+	return sh->q->soft - rt_stat_second(sh->q->stat);
 }
 
 /*
