One reader of the registry a data centre, replaced in order

Ruled out: the first lists (a tenth of a call each). Change: the first host in order reads; others take over one after the other when no word comes. Periods are parts of a new setting, apply_limit_ms, the time in which what is published must be in force. A host's own list counts as a word. The tests of routes are split into three suites.

--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -330,6 +330,7 @@
 		.seeds = seeds,
 		.nseeds = n,
 		.hosts = s->fleet,
+		.apply_time = s->apply_limit_ms * USEC_PER_MSEC,
 		.seed = str_hash(str_of(s->name), (uint64_t)clock_now()),
 	};
 
--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -10,11 +10,12 @@
 #include "libedge.h"
 
 #define WATCH_TIME (20 * USEC_PER_SEC) /* a watch waits so long for news */
-/* The same where others rely on it: each answer tells them that it lives. */
-#define LEAD_TIME (1 * USEC_PER_SEC)
+/* Parts of the time in which what is published must be in force. Between two
+ * watches: what changes meanwhile comes in one answer. */
+#define GATHER_PART 0.3
+/* A watch where others rely on it: each answer tells them that it lives. */
+#define LEAD_PART 0.05
 #define CALL_TIME (1500 * USEC_PER_MSEC) /* beyond what the call may wait */
-/* Between two watches: what changes meanwhile comes in one answer. */
-#define GATHER_TIME (800 * USEC_PER_MSEC)
 /* Each call costs, refused ones too; news must be in force in 3 s. */
 #define BACKOFF_MIN (150 * USEC_PER_MSEC)
 #define BACKOFF_MAX (1500 * USEC_PER_MSEC)
@@ -47,6 +48,11 @@
 	evtimer_add(s->timer, &tv);
 }
 
+static usec_t part_of_limit(const store_t *s, double part)
+{
+	return (usec_t)(part * s->e->settings->apply_limit_ms) * USEC_PER_MSEC;
+}
+
 static void disconnect(store_t *s)
 {
 	if (s->bev)
@@ -157,7 +163,7 @@
 	}
 	fleet_peers_read(s->e, before);
 	if (s->reading)
-		set_timer(s, GATHER_TIME);
+		set_timer(s, part_of_limit(s, GATHER_PART));
 }
 
 static void start_list(store_t *s)
@@ -233,7 +239,7 @@
 		s->e->outside->list_path(path, s->after, revision == 0);
 	} else {
 		wait = fleet_has_followers(s->e->fleet, clock_now())
-			       ? LEAD_TIME
+			       ? part_of_limit(s, LEAD_PART)
 			       : WATCH_TIME;
 		s->e->outside->watch_path(path, revision, wait);
 	}
@@ -254,7 +260,7 @@
 	(void)what;
 	if (s->calling)
 		fail(s, "no answer in time", 0);
-	else if (s->reading)
+	else if (s->reading || fleet_state_revision(s->e->state) == 0)
 		call(s);
 	edge_step(s->e);
 }
--- a/daemon/libdaemon.h
+++ b/daemon/libdaemon.h
@@ -67,9 +67,10 @@
 	unsigned hedge_budget;	   /* percent of first attempts */
 	unsigned retry_budget;	   /* percent of first attempts */
 	unsigned seed;
-	unsigned fleet;	      /* hosts that share limits; of outside */
-	unsigned extra_fixed; /* further sends a window, all hosts */
-	double extra_share;   /* further sends per first send */
+	unsigned apply_limit_ms; /* published state is in force by then */
+	unsigned fleet;		 /* hosts that share limits; of outside */
+	unsigned extra_fixed;	 /* further sends a window, all hosts */
+	double extra_share;	 /* further sends per first send */
 	double extra_window_s;
 } settings_t;
 
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -8,6 +8,9 @@
 #include "libdaemon.h"
 #include "outside.h"
 
+/* Several calls of the registry must fit into it. */
+#define APPLY_LIMIT_MIN_MS 200
+
 typedef enum kind { K_STRING, K_ADDR, K_ADDRS, K_NUMBER, K_REAL, K_MAX } kind_t;
 
 typedef struct field {
@@ -43,6 +46,7 @@
 	{ "outside", K_STRING, AT(outside), false, 0 },
 	{ "registry", K_ADDR, AT(registry), false, 0 },
 	{ "ready", K_ADDR, AT(ready), false, 0 },
+	{ "apply_limit_ms", K_NUMBER, AT(apply_limit_ms), false, 600000 },
 	{ "fleet", K_NUMBER, AT(fleet), false, 100000 },
 	{ "extra_fixed", K_NUMBER, AT(extra_fixed), false, 1000000 },
 	{ "extra_share", K_REAL, AT(extra_share), false, 10 },
@@ -194,6 +198,11 @@
 			 "missing, needed with /outside", NULL);
 		faults++;
 	}
+	if (s->outside && s->apply_limit_ms < APPLY_LIMIT_MIN_MS) {
+		fprintf(stderr, "%s: /apply_limit_ms: below %d: %u\n", file,
+			APPLY_LIMIT_MIN_MS, s->apply_limit_ms);
+		faults++;
+	}
 	if (!s->outside && (!s->platform || !s->admin_token)) {
 		complain(file, s->platform ? "admin_token" : "platform",
 			 "missing", NULL);
@@ -238,6 +247,7 @@
 			   .hedge_percentile = UINT32_MAX,
 			   .hedge_budget = UINT32_MAX,
 			   .retry_budget = UINT32_MAX,
+			   .apply_limit_ms = 3000,
 			   .fleet = 12,
 			   .extra_fixed = 10,
 			   .extra_share = 0.1,
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -96,7 +96,8 @@
 	str_t dc;
 	const str_t *seeds; /**< asked while nobody else is known */
 	size_t nseeds;
-	unsigned hosts; /**< taken for the fleet's size until it is learnt */
+	unsigned hosts;	   /**< taken for the fleet's size until it is learnt */
+	usec_t apply_time; /**< in which what is published must be in force */
 	uint64_t seed;
 } fleet_params_t;
 
--- a/fleet/fleet_member.c
+++ b/fleet/fleet_member.c
@@ -2,7 +2,8 @@
  * @file fleet_member.c
  * Members by gossip: each daemon greets a few others now and then and tells
  * of some that it knows, with the age of that knowledge. In a data centre of
- * many hosts two read the registry and tell the others.
+ * many hosts one reads the registry and tells the others; when it is silent
+ * the next ones take over in a fixed order, one after the other.
  */
 #include <stdlib.h>
 
@@ -21,10 +22,12 @@
 #define HOSTS_TIME (60 * USEC_PER_SEC)
 /* Hosts that come on top of those that are there, as part of them. */
 #define HOSTS_SPARE 8
-/* One may end or be cut off without its neighbours having to read. */
-#define READERS_PER_DC 2
 #define FOLLOW_MIN 6 /* in smaller data centres each host reads */
-#define WORD_TIME (2500 * USEC_PER_MSEC) /* then a follower reads itself */
+/* Parts of the time in which what is published must be in force: without a
+ * word for so long the second host in order reads; each further one a little
+ * later, so that seven in a row may be turned away by the registry. */
+#define WORD_PART 0.45
+#define NEXT_PART 0.07
 /* Keeps a follower from changing to and fro. */
 #define READ_AT_LEAST (3 * USEC_PER_SEC)
 /* Above the 2,600 hosts of the size to design for. */
@@ -34,7 +37,7 @@
 	str_t addr; /* owned */
 	str_t dc;   /* owned */
 	usec_t heard_at;
-	uint64_t rank;	   /* order of readers */
+	uint64_t rank;	   /* order of readers, the least reads first */
 	uint64_t revision; /* of what it knew when heard of directly */
 } member_t;
 
@@ -44,6 +47,7 @@
 	str_t *seeds;
 	size_t nseeds;
 	unsigned hosts;
+	usec_t apply_time; /* what is published must be in force by then */
 	rng_t rng;
 	member_t *v;
 	size_t n;
@@ -51,6 +55,7 @@
 	usec_t greet_at;
 	usec_t read_at;	  /* last answer of the registry; 0: never */
 	usec_t word_at;	  /* a reader's state was confirmed then; 0: never */
+	usec_t before_at; /* the same of one that goes before this host */
 	usec_t own_until; /* reads for itself until then */
 	unsigned most;
 	usec_t most_at;
@@ -73,6 +78,7 @@
 		if (!str_eq(p->seeds[i], p->addr))
 			f->seeds[f->nseeds++] = str_dup(p->seeds[i]);
 	f->hosts = p->hosts ? p->hosts : 1;
+	f->apply_time = p->apply_time;
 	f->rng.state = p->seed;
 	f->started_at = now;
 	f->greet_at = now;
@@ -160,6 +166,15 @@
 	*m = f->v[--f->n];
 }
 
+/* Somebody of the own data centre read the registry at that time. */
+static void note_word(fleet_t *f, const fleet_msg_t *m, usec_t at)
+{
+	if (at > f->word_at)
+		f->word_at = at;
+	if (at > f->before_at && rank_of(m->from) < rank_of(f->addr))
+		f->before_at = at;
+}
+
 void fleet_heard(fleet_t *f, const fleet_msg_t *m, usec_t now)
 {
 	member_t *from;
@@ -178,9 +193,8 @@
 	if (from)
 		from->revision = m->revision;
 	/* Only who is in the same place reads for this one. */
-	if (m->kind == FLEET_STATE && m->age >= 0 && str_eq(m->dc, f->dc) &&
-	    now - m->age > f->word_at)
-		f->word_at = now - m->age;
+	if (m->kind == FLEET_STATE && m->age >= 0 && str_eq(m->dc, f->dc))
+		note_word(f, m, now - m->age);
 }
 
 void fleet_read(fleet_t *f, usec_t now)
@@ -228,13 +242,23 @@
 	return n;
 }
 
+static usec_t part_of(const fleet_t *f, double part)
+{
+	return (usec_t)(part * (double)f->apply_time);
+}
+
 bool fleet_should_read(fleet_t *f, usec_t now)
 {
 	size_t before, n = neighbours(f, &before, now);
+	usec_t age = fleet_age(f, now), patience;
 
-	if (n + 1 < FOLLOW_MIN || before < READERS_PER_DC)
+	if (n + 1 < FOLLOW_MIN || before == 0)
 		return true;
-	if (now - f->word_at > WORD_TIME)
+	patience = part_of(f, WORD_PART + NEXT_PART * (double)(before - 1));
+	if (age < 0 || age > patience)
+		f->own_until = now + READ_AT_LEAST;
+	/* Who took over goes on until somebody before it is heard again. */
+	if (now < f->own_until && now - f->before_at > part_of(f, WORD_PART))
 		f->own_until = now + READ_AT_LEAST;
 	return now < f->own_until;
 }
@@ -243,8 +267,11 @@
 {
 	size_t before;
 
-	return neighbours(f, &before, now) + 1 >= FOLLOW_MIN &&
-	       before < READERS_PER_DC;
+	if (neighbours(f, &before, now) + 1 < FOLLOW_MIN)
+		return false;
+	/* At the start nobody was heard yet, and every host reads. */
+	return before == 0 ||
+	       (now - f->started_at > EARLY_TIME && now < f->own_until);
 }
 
 usec_t fleet_age(const fleet_t *f, usec_t now)
--- a/route/libroute.h
+++ b/route/libroute.h
@@ -13,9 +13,9 @@
 
 /* How long a request takes; one for each route, kept over versions. */
 typedef struct rt_stat {
-	str_t name;  /* owned; of the route */
-	usec_t mean; /* decaying, of answers that were not hedged away */
-	usec_t late; /* quantile that few answers exceed */
+	str_t name;    /* owned; of the route */
+	usec_t mean;   /* decaying, of answers that were not hedged away */
+	usec_t late;   /* quantile that few answers exceed */
 	usec_t second; /* the same of second sends; 0: none was answered */
 	uint64_t n;
 } rt_stat_t;
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -11,6 +11,8 @@
 void unit_fleet(void);
 void unit_daemon(void);
 void unit_route(void);
+void unit_load(void);
+void unit_registry(void);
 void unit_outside(void);
 
 #endif
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -16,6 +16,8 @@
 	unit_wire();
 	unit_fleet();
 	unit_route();
+	unit_load();
+	unit_registry();
 	unit_outside();
 	unit_walk();
 	CU_basic_set_mode(CU_BRM_NORMAL);
