--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -72,7 +72,7 @@
 static void act_open(edge_t *e, const rt_act_t *act)
 {
 	links_open(e->links, act->server.server, act->server.addr,
-		   act->server.warm);
+		   act->server.warm, act->server.keep);
 }
 
 static void act_close(edge_t *e, const rt_act_t *act)
--- a/daemon/edge_link.c
+++ b/daemon/edge_link.c
@@ -193,7 +193,6 @@
 	target_t *t = target_get(l, act->send.server, act->send.addr);
 	link_t *k = take_idle(t, act->send.once, now);
 
-	t->keep = act->send.keep;
 	if (k)
 		k->state = LINK_BUSY;
 	else
@@ -215,11 +214,11 @@
 		link_free(k);
 }
 
-void links_open(links_t *l, uint64_t server, str_t addr, unsigned n)
+void links_open(links_t *l, uint64_t server, str_t addr, unsigned n, bool keep)
 {
 	target_t *t = target_get(l, server, addr);
 
-	t->keep = n > 0;
+	t->keep = keep;
 	while (t->n < n && link_new(l, t))
 		;
 }
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -112,12 +112,11 @@
 /** Breaks a send off. */
 void links_cancel(links_t *l, uint64_t aid);
 /**
- * Opens connections to a server before they are needed; they are kept until
- * a send tells otherwise. Connections that are not kept are closed soon after
- * their use: each server takes few, and all hosts must find room for new ones
- * after they restart at once.
+ * Opens connections to a server before they are needed. Those of a server
+ * that is not kept are closed soon after their use: each server takes few,
+ * and all hosts must find room for new ones after they restart at once.
  */
-void links_open(links_t *l, uint64_t server, str_t addr, unsigned n);
+void links_open(links_t *l, uint64_t server, str_t addr, unsigned n, bool keep);
 /** Closes what is idle; what is busy is closed when it is done. */
 void links_close(links_t *l, uint64_t server);
 void links_free(links_t *l);
--- a/route/libroute.h
+++ b/route/libroute.h
@@ -254,7 +254,6 @@
 	size_t usable; /* that may be given work, busy or not */
 	size_t candidates;
 	usec_t expected;
-	bool keep;  /* its connections are to stay open */
 	usec_t age; /* of what is believed of it; below 0: nothing */
 } rt_pick_t;
 void rt_pick(rt_t *rt, const rt_shard_t *sh, rt_why_t why, usec_t now,
--- a/route/route.h
+++ b/route/route.h
@@ -234,7 +234,6 @@
 			void *caller;
 			usec_t deadline; /**< of this send */
 			bool once;	 /**< it must not run twice */
-			bool keep; /**< keep the connection while it is idle */
 		} send;
 		uint64_t aid;
 		rt_answer_t answer;
@@ -242,6 +241,7 @@
 			uint64_t server;
 			str_t addr;
 			unsigned warm; /**< connections to open early */
+			bool keep;     /**< keep them while they are idle */
 		} server;
 		struct {
 			str_t server_id;
--- a/route/rt_pick.c
+++ b/route/rt_pick.c
@@ -66,38 +66,13 @@
 	return p;
 }
 
-/*
- * Where a service has no server in the own data centre, each host uses one of
- * the others most, so that its connections there stay open. Hosts differ in
- * which one it is. NULL if there is one nearby.
- */
-static const rt_server_t *home_of(const rt_t *rt, const rt_svc_t *svc)
-{
-	const rt_server_t *home = NULL;
-	uint64_t best = 0, h;
-	size_t i;
-
-	for (i = 0; i < svc->n; i++) {
-		if (!rt_server_usable(svc->v[i]))
-			continue;
-		if (svc->v[i]->near)
-			return NULL;
-		h = str_hash(svc->v[i]->id, rt->p.seed);
-		if (!home || h > best) {
-			home = svc->v[i];
-			best = h;
-		}
-	}
-	return home;
-}
-
-static double expected(const rt_server_t *s, const rt_server_t *home,
-		       double best, usec_t usual, usec_t now)
+static double expected(const rt_server_t *s, double best, usec_t usual,
+		       usec_t now)
 {
 	double t = (double)usual * rt_server_pace(s, best, now);
 
 	t *= 1 + LOAD_FACTOR * s->inflight / s->slots;
-	if (s != home && !s->near)
+	if (!s->near)
 		t *= FAR_FACTOR;
 	return now < s->warm_at ? t * COLD_FACTOR : t;
 }
@@ -105,12 +80,11 @@
 static size_t choose_expected(rt_t *rt, rt_svc_t *svc, const cand_t *v,
 			      size_t n, usec_t usual, usec_t now)
 {
-	const rt_server_t *home = home_of(rt, svc);
 	double pace = rt_svc_best_pace(svc), low = 0, t;
 	size_t best = 0, i;
 
 	for (i = 0; i < n; i++) {
-		t = expected(v[i].s, home, pace, usual, now);
+		t = expected(v[i].s, pace, usual, now);
 		t *= 1 + NOISE * rng_unit(&rt->rng);
 		if (i == 0 || t < low) {
 			low = t;
@@ -231,7 +205,6 @@
 {
 	usec_t usual = rt_stat_usual(sh->q->stat);
 	cand_t all[RT_MAX_CANDIDATES], v[RT_MAX_CANDIDATES];
-	const rt_server_t *home;
 	rank_t rank;
 	size_t n;
 
@@ -248,9 +221,7 @@
 	p->s = v[policies[rt->p.policy].choose(rt, sh->svc, v, p->candidates,
 					       usual, now)]
 		       .s;
-	home = home_of(rt, sh->svc);
-	p->expected = (usec_t)expected(p->s, home, p->s->pace, usual, now);
-	p->keep = p->s->near || p->s == home;
+	p->expected = (usec_t)expected(p->s, p->s->pace, usual, now);
 	p->age = p->s->sampled_at ? now - p->s->sampled_at : -1;
 }
 
@@ -269,8 +240,7 @@
 	}
 	if (!p->s)
 		return;
-	p->keep = p->s->near;
-	p->expected = (usec_t)expected(p->s, NULL, p->s->pace,
+	p->expected = (usec_t)expected(p->s, p->s->pace,
 				       rt_stat_usual(sh->q->stat), now);
 	p->age = p->s->sampled_at ? now - p->s->sampled_at : -1;
 	p->s->probed_at = now;
--- a/route/rt_registry.c
+++ b/route/rt_registry.c
@@ -177,6 +177,7 @@
 		a->server.server = s->num;
 		a->server.addr = arena_str(&rt->scratch, s->addr);
 		a->server.warm = s->near && !e->draining ? 1 : 0;
+		a->server.keep = s->near;
 	}
 	s->report = e->report;
 	s->slots = e->slots ? e->slots : 1;
--- a/route/rt_shard.c
+++ b/route/rt_shard.c
@@ -132,7 +132,6 @@
 	act->send.caller = q->caller;
 	act->send.deadline = a->deadline;
 	act->send.once = !q->route->idempotent;
-	act->send.keep = p->keep;
 	log_shard(rt, sh, "send", p, p->why);
 	arm_hedge(rt, sh, now);
 }
