Confirm what is known when a daemon stood still

Change: a loop that did not turn for a second asks the registry at once and sends nothing for 200 ms or until the answer; without the registry old beliefs must do.

--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -19,6 +19,12 @@
 #define UNSENT_TIME_MS 3000 /* the same for bytes that are not confirmed */
 #define STOP_POLL_MS 50
 #define SETTINGS_LOOK_S 2 /* the file may change without a signal */
+/* A loop that did not turn for so long stood still: frozen or suspended. A
+ * server that leaves must get no new work some seconds after it said so. */
+#define STOOD_STILL (1 * USEC_PER_SEC)
+#define PULSE_MS 250 /* between turns of the loop at the least */
+/* Registries answer in milliseconds; callers wait for it so long at most. */
+#define HOLD_TIME (200 * USEC_PER_MSEC)
 /* Before the process is killed what is open is given up. */
 #define STOP_MARGIN (300 * USEC_PER_MSEC)
 
@@ -48,6 +54,7 @@
 	struct event *signals[3];
 	struct event *stop_timer;
 	struct event *look;
+	struct event *pulse;
 	struct evhttp *ready;
 	struct evhttp *metrics;
 	usec_t stop_at;
@@ -116,12 +123,37 @@
 	set_tick(e);
 }
 
+void edge_notice_sleep(edge_t *e)
+{
+	usec_t now = clock_now();
+	usec_t asleep = now - e->pulse_at;
+
+	e->pulse_at = now;
+	if (asleep < STOOD_STILL)
+		return;
+	log_json(G_LOG_LEVEL_MESSAGE, "stood still", "\"us\":%lld",
+		 (long long)asleep);
+	rt_hold(e->rt, now + HOLD_TIME, now);
+	store_confirm(e->store);
+}
+
+static void on_pulse(evutil_socket_t fd, short what, void *arg)
+{
+	edge_t *e = arg;
+
+	(void)fd;
+	(void)what;
+	edge_notice_sleep(e);
+	edge_step(e);
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	edge_t *e = arg;
 
 	(void)fd;
 	(void)what;
+	edge_notice_sleep(e);
 	rt_tick(e->rt, clock_now());
 	edge_step(e);
 }
@@ -340,6 +372,16 @@
 	free(seeds);
 }
 
+static void start_pulse(run_t *r)
+{
+	struct timeval period = { 0, PULSE_MS * 1000 };
+	edge_t *e = &r->edge;
+
+	e->pulse_at = clock_now();
+	r->pulse = event_new(e->base, -1, EV_PERSIST, on_pulse, e);
+	evtimer_add(r->pulse, &period);
+}
+
 static daemon_err_t start(run_t *r)
 {
 	const settings_t *s = &r->settings;
@@ -364,6 +406,7 @@
 	if (!fleet_peers_start(e))
 		return DAEMON_E_PEER;
 	e->store = store_start(e, s->registry);
+	start_pulse(r);
 	edge_step(e);
 	return DAEMON_OK;
 }
@@ -388,6 +431,8 @@
 		event_free(r->signals[i]);
 	event_free(r->stop_timer);
 	event_free(r->look);
+	if (r->pulse)
+		event_free(r->pulse);
 	event_free(e->tick);
 	event_base_free(e->base);
 }
--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -29,9 +29,10 @@
 	http_msg_t msg;
 	struct event *timer;
 	bool calling;
-	bool reading; /* else a neighbour reads for this daemon */
-	bool listing; /* the call asks for a page of the list */
-	bool up;      /* the last call was answered */
+	bool reading;	 /* else a neighbour reads for this daemon */
+	bool listing;	 /* the call asks for a page of the list */
+	bool up;	 /* the last call was answered */
+	bool confirming; /* the call began after the process stood still */
 	usec_t backoff;
 	uint64_t list_from; /* revision of the list's first page */
 	str_t after;	    /* owned; last key of the page before */
@@ -161,6 +162,9 @@
 		call(s);
 		return;
 	}
+	if (s->confirming)
+		rt_release(s->e->rt, clock_now());
+	s->confirming = false;
 	fleet_peers_read(s->e, before);
 	if (s->reading)
 		set_timer(s, part_of_limit(s, GATHER_PART));
@@ -241,6 +245,8 @@
 		wait = fleet_has_followers(s->e->fleet, clock_now())
 			       ? part_of_limit(s, LEAD_PART)
 			       : WATCH_TIME;
+		if (s->confirming)
+			wait = 0;
 		s->e->outside->watch_path(path, revision, wait);
 	}
 	http_msg_reset(&s->msg, HTTP_RESPONSE);
@@ -295,6 +301,16 @@
 		call(s);
 }
 
+void store_confirm(store_t *s)
+{
+	if (s->listing)
+		return; /* a start: nothing is known yet */
+	/* An answer to a call from before would tell what was true then. */
+	disconnect(s);
+	s->confirming = true;
+	call(s);
+}
+
 bool store_is_at(const store_t *s, const char *addr)
 {
 	return strcmp(s->addr, addr) == 0;
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -126,6 +126,8 @@
 store_t *store_start(edge_t *e, const char *addr);
 /** Whether it reads at that address. */
 bool store_is_at(const store_t *s, const char *addr);
+/** Asks at once for what changed; rt_release() follows the answer. */
+void store_confirm(store_t *s);
 /** Whether to read, or to leave that to a neighbour. */
 void store_read(store_t *s, bool reading);
 void store_free(store_t *s);
@@ -168,6 +170,7 @@
 	struct fleet_peers *peers;
 	struct callers *callers;
 	struct event *tick;
+	usec_t pulse_at; /* when the loop turned last */
 	bool running_acts;
 	bool stopping;	   /* not ready; callers are sent away */
 	bool closed;	   /* no listener any more */
@@ -175,6 +178,11 @@
 	unsigned log_lines[EDGE_LOG_KINDS]; /* since then */
 };
 
+/**
+ * Notices that the process stood still: what it knows is confirmed before
+ * more is sent. To be called before what came meanwhile is handled.
+ */
+void edge_notice_sleep(edge_t *e);
 /** Does what the decisions ask for and sets the next tick. */
 void edge_step(edge_t *e);
 /** Runs until a planned stop is over; takes over the settings. */
--- a/route/libroute.h
+++ b/route/libroute.h
@@ -168,6 +168,7 @@
 	rt_query_t *open; /* not answered yet */
 	size_t nopen;
 	size_t nwaiting;
+	usec_t hold_until; /* nothing is sent before; 0: the host is awake */
 	bool registry_up;
 	usec_t registry_back_at; /* 0: never lost */
 	usec_t next_sweep;
@@ -279,6 +280,8 @@
 void rt_shard_detach(rt_t *rt, rt_shard_t *sh, bool break_off);
 
 /* rt_query.c */
+/* Goes on with what waited for rt_release(). */
+void rt_queries_release(rt_t *rt, usec_t now);
 /* Looks at the query again no later than that. */
 void rt_query_wake(rt_query_t *q, usec_t at);
 /* Answers if there is nothing left to wait for. */
--- a/route/route.h
+++ b/route/route.h
@@ -148,9 +148,10 @@
 	RT_WHY_GONE,
 	RT_WHY_NEW,
 	RT_WHY_MOVED,
-	RT_WHY_WELL,	 /**< a suspect server answered again */
-	RT_WHY_OLD_WORD, /**< said earlier than what is known */
-	RT_WHY_LAPSED,	 /**< it left the registry while that was away */
+	RT_WHY_WELL,	    /**< a suspect server answered again */
+	RT_WHY_OLD_WORD,    /**< said earlier than what is known */
+	RT_WHY_STOOD_STILL, /**< the host was frozen or suspended */
+	RT_WHY_LAPSED,	    /**< it left the registry while that was away */
 	RT_WHY_MAX,
 } rt_why_t;
 
@@ -301,6 +302,13 @@
 /** A neighbour tells how fast a server answers, and what share it fails. */
 void rt_told(rt_t *rt, str_t server_id, double pace, double failing,
 	     usec_t now);
+/**
+ * The host stood still: what it believes may be old. Nothing is sent until
+ * rt_release(), or that time: without the registry old beliefs must do.
+ */
+void rt_hold(rt_t *rt, usec_t until, usec_t now);
+/** The registry confirmed what is believed. */
+void rt_release(rt_t *rt, usec_t now);
 /** Whether the registry answers. */
 void rt_registry(rt_t *rt, bool up, usec_t now);
 
--- a/route/rt.c
+++ b/route/rt.c
@@ -128,6 +128,25 @@
 	return rt->view ? rt->view->conf : NULL;
 }
 
+void rt_hold(rt_t *rt, usec_t until, usec_t now)
+{
+	rt->hold_until = until;
+	rt_log(rt, &(rt_line_t){ .what = "held",
+				 .why = RT_WHY_STOOD_STILL,
+				 .result = RT_RESULT_MAX,
+				 .value = until - now,
+				 .age = -1,
+				 .failure = true });
+}
+
+void rt_release(rt_t *rt, usec_t now)
+{
+	if (now >= rt->hold_until)
+		return;
+	rt->hold_until = now;
+	rt_queries_release(rt, now);
+}
+
 void rt_ended(rt_t *rt, uint64_t aid, rt_result_t r, rt_reply_t *reply,
 	      usec_t now)
 {
--- a/route/rt_act.c
+++ b/route/rt_act.c
@@ -30,6 +30,7 @@
 	[RT_WHY_MOVED] = "moved",
 	[RT_WHY_WELL] = "well",
 	[RT_WHY_OLD_WORD] = "old_word",
+	[RT_WHY_STOOD_STILL] = "stood_still",
 	[RT_WHY_LAPSED] = "lapsed",
 };
 
--- a/route/rt_pick.c
+++ b/route/rt_pick.c
@@ -11,7 +11,7 @@
 
 #define COLD_FACTOR 1.6 /* a server is so much slower while it warms up */
 #define LOAD_FACTOR 0.7 /* of a full set of own requests in flight */
-#define FAR_FACTOR 1.3 /* bytes between data centres are dear */
+#define FAR_FACTOR 1.3	/* bytes between data centres are dear */
 #define NOISE 0.04	/* keeps hosts from choosing alike */
 
 /** How much a server is wanted; the best kind that there is, is used. */
--- a/route/rt_query.c
+++ b/route/rt_query.c
@@ -396,6 +396,20 @@
 		query_deadline(rt, q, now);
 }
 
+void rt_queries_release(rt_t *rt, usec_t now)
+{
+	rt_query_t *q;
+	size_t i;
+
+	for (q = rt->open; q; q = q->next)
+		for (i = 0; i < q->nshards; i++)
+			if (q->shards[i].again_at) {
+				q->shards[i].again_at = now;
+				rt_query_wake(q, now);
+			}
+	rt_queries_time(rt, now);
+}
+
 void rt_queries_time(rt_t *rt, usec_t now)
 {
 	rt_query_t *q, *next;
--- a/route/rt_shard.c
+++ b/route/rt_shard.c
@@ -169,6 +169,12 @@
 		rt_shard_fail(rt, sh, RT_WHY_DEADLINE, now);
 		return;
 	}
+	if (now < rt->hold_until) {
+		sh->state = RT_SH_IDLE;
+		sh->again_at = rt->hold_until;
+		rt_query_wake(sh->q, sh->again_at);
+		return;
+	}
 	rt_pick(rt, sh, why, now, &p);
 	if (!p.s && p.usable) {
 		log_shard(rt, sh, "wait", &p, RT_WHY_OVERLOAD);
@@ -201,7 +207,7 @@
 		if (a)
 			rt_server_late(a);
 	}
-	if (!may_send(sh) || sh->state != RT_SH_OUT)
+	if (!may_send(sh) || sh->state != RT_SH_OUT || now < rt->hold_until)
 		return;
 	if (now < hedge_time(sh)) {
 		sh->hedge_at = hedge_time(sh);
@@ -226,7 +232,8 @@
 	if (sh->again_at && sh->again_at <= now) {
 		sh->again_at = 0;
 		sh->ntried = 0;
-		rt_shard_start(rt, sh, RT_WHY_RETRY, now);
+		rt_shard_start(rt, sh,
+			       sh->arrived ? RT_WHY_RETRY : RT_WHY_FIRST, now);
 	}
 }
 
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -354,6 +354,47 @@
 	world_free(r.w);
 }
 
+/*
+ * A daemon stands still between two watches of the store while a server
+ * begins to drain, then wakes with a request in its socket: it asks the store
+ * before it believes what it knew. Without the store it serves all the same.
+ */
+static void test_freeze(void)
+{
+	static const struct {
+		bool store_away;
+		unsigned sleep_ms;
+		unsigned draining_runs;
+	} cases[] = {
+		{ false, 1600, 0 },
+		{ true, 1600, 1 },
+	};
+	struct bufferevent *bev;
+	world_answer_t a;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		rig_t r = rig_new();
+
+		world_put(r.w, "op/other", "a change ends the watch");
+		world_pass(r.w, 100);
+		kill(r.d->pid, SIGSTOP);
+		world_publish(r.a[0], "draining");
+		r.w->store_down = cases[i].store_away;
+		bev = world_connect(r.w, r.d->listen);
+		evbuffer_add_printf(bufferevent_get_output(bev), "%s",
+				    GET("/one/x", "frozen"));
+		world_pass(r.w, cases[i].sleep_ms);
+		kill(r.d->pid, SIGCONT);
+		world_ask_on(r.w, bev, "", ASK_MS, &a);
+		CU_ASSERT_EQUAL(a.status, 200);
+		CU_ASSERT_EQUAL(r.a[0]->runs, cases[i].draining_runs);
+		clear(&a);
+		bufferevent_free(bev);
+		world_free(r.w);
+	}
+}
+
 /* SIGHUP cuts nothing, and settings with a fault change nothing. */
 static void test_reload(void)
 {
@@ -458,6 +499,7 @@
 		{ "the store is away", test_store_away },
 		{ "no configuration", test_no_configuration },
 		{ "planned stop", test_stop },
+		{ "a daemon that stood still", test_freeze },
 		{ "reload", test_reload },
 		{ "refused at once", test_refused },
 		{ "the log is not read", test_log_unread },
--- a/tests/unit_registry.c
+++ b/tests/unit_registry.c
@@ -111,6 +111,45 @@
 	rig_free(r);
 }
 
+/* The host stood still: nothing is sent on old beliefs until the registry
+ * confirmed them, or for too long. */
+static void test_held(void)
+{
+	static const struct {
+		usec_t released; /* after that time; 0: never */
+		bool leaves;	 /* the near server does, as is learnt then */
+		usec_t sent_by;
+		const char *want;
+	} cases[] = {
+		{ 30 * MS, true, 31 * MS, "i0-1" },
+		{ 30 * MS, false, 31 * MS, "i0-0" },
+		{ 0, true, 201 * MS, "i0-0" },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		rig_t *r = rig_new(9, 2);
+		usec_t until = r->now + 200 * MS;
+
+		rt_hold(r->rt, until, r->now);
+		rig_ask(r, "/one/x", r);
+		rig_pass(r, 29 * MS);
+		CU_ASSERT_EQUAL(r->nsent, 0);
+		rig_pass(r, MS);
+		if (cases[i].released) {
+			if (cases[i].leaves)
+				rig_add_server(r, 0, 0, "draining", 1);
+			rt_release(r->rt, r->now);
+			rig_run(r);
+		}
+		while (r->nsent == 0 && r->now < until + USEC_PER_SEC)
+			rig_pass(r, MS);
+		CU_ASSERT(r->now <= until - 200 * MS + cases[i].sent_by);
+		CU_ASSERT_STRING_EQUAL(r->sent[0].server, cases[i].want);
+		rig_free(r);
+	}
+}
+
 void unit_registry(void)
 {
 	static const struct {
@@ -122,6 +161,7 @@
 		{ "earlier words, with a request out",
 		  test_old_word_in_flight },
 		{ "lapsed servers", test_lapse },
+		{ "a host that stood still", test_held },
 	};
 	CU_pSuite s = CU_add_suite("registry", NULL, NULL);
 	size_t i;
