Far servers are dear only while a near one is well

Change: the factor counts while a near server of the service refused and failed nearly nothing; otherwise far ones cost nothing extra. Test with a row for each side, red with either constant alone.

--- a/route/libroute.h
+++ b/route/libroute.h
@@ -233,6 +233,8 @@
 void rt_server_ended(rt_t *rt, rt_attempt_t *a, rt_result_t r, usec_t now);
 /* Forgets a send that was broken off: that says nothing of the server. */
 void rt_server_dropped(rt_t *rt, rt_attempt_t *a);
+/* Whether it refused and failed nearly nothing lately. */
+bool rt_server_is_sound(const rt_server_t *s);
 /* Whether it may be given work at all. */
 bool rt_server_usable(const rt_server_t *s);
 /* Notes that a request is out to it for longer than usual. */
--- a/route/rt_pick.c
+++ b/route/rt_pick.c
@@ -11,8 +11,9 @@
 
 #define COLD_FACTOR 1.6 /* a server is so much slower while it warms up */
 #define LOAD_FACTOR 0.7 /* of a full set of own requests in flight */
-#define FAR_FACTOR 1.3	/* bytes between data centres are dear */
-#define NOISE 0.04	/* keeps hosts from choosing alike */
+/* Of a server in another data centre: bytes between them are dear. */
+#define FAR_FACTOR 1.3
+#define NOISE 0.04 /* keeps hosts from choosing alike */
 
 /** How much a server is wanted; the best kind that there is, is used. */
 typedef enum rank {
@@ -66,6 +67,19 @@
 	return p;
 }
 
+/* While a near server is well the others are dear; when it refuses or fails a
+ * part, each further send that this costs is dearer. */
+static double far_factor(const rt_svc_t *svc)
+{
+	size_t i;
+
+	for (i = 0; i < svc->n; i++)
+		if (svc->v[i]->near && rt_server_usable(svc->v[i]) &&
+		    rt_server_is_sound(svc->v[i]))
+			return FAR_FACTOR;
+	return 1;
+}
+
 static double expected(const rt_server_t *s, double best, usec_t usual,
 		       usec_t now)
 {
@@ -73,7 +87,7 @@
 
 	t *= 1 + LOAD_FACTOR * s->inflight / s->slots;
 	if (!s->near)
-		t *= FAR_FACTOR;
+		t *= far_factor(s->svc);
 	return now < s->warm_at ? t * COLD_FACTOR : t;
 }
 
--- a/route/rt_server.c
+++ b/route/rt_server.c
@@ -114,6 +114,11 @@
 	return cost(s) > PACE_SLOW;
 }
 
+bool rt_server_is_sound(const rt_server_t *s)
+{
+	return s->failing < FAIL_NONE;
+}
+
 double rt_svc_best_pace(const rt_svc_t *svc)
 {
 	double best = 0;
--- a/tests/unit_load.c
+++ b/tests/unit_load.c
@@ -265,6 +265,37 @@
 	}
 }
 
+/* Bytes to another data centre are saved while a near server is well, not
+ * while it refuses a part: each refusal costs a further send. */
+static void test_far(void)
+{
+	static const struct {
+		double pace; /* of the near one; the far one has 1.05 */
+		double failing;
+		const char *want;
+	} cases[] = {
+		{ 1.0, 0, "i0-0" },
+		{ 1.2, 0, "i0-0" },
+		{ 1.5, 0, "i0-1" },
+		{ 1.0, 0.05, "i0-1" },
+	};
+	size_t i, from;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		rig_t *r = rig_new(9, 2);
+
+		rig_warm_up(r, "/one/x", 30);
+		rig_pass(r, 3 * USEC_PER_SEC);
+		rt_told(r->rt, STR("i0-0"), cases[i].pace, cases[i].failing,
+			r->now);
+		rt_told(r->rt, STR("i0-1"), 1.05, 0, r->now);
+		from = r->nsent;
+		rig_ask(r, "/one/x", r);
+		CU_ASSERT_STRING_EQUAL(r->sent[from].server, cases[i].want);
+		rig_free(r);
+	}
+}
+
 /* A server turns slow: it is found out by one answer, gets copies only, and
  * is used again when it is well. */
 static void test_slow_server(void)
@@ -412,6 +443,7 @@
 		{ "those who come back", test_come_back },
 		{ "what cannot be in time is refused", test_overload },
 		{ "budget of all hosts", test_budget },
+		{ "near and far", test_far },
 		{ "slow server", test_slow_server },
 		{ "server that refuses or fails a part", test_shedding_server },
 		{ "neighbours' words", test_told },
