Routes get the project's own JSON format

Cause: routes existed in the users' format only; operators could not write, check or print them as part of the product. The test of faulty configurations asked only whether there was a fault; it now asks which and where. Its row of weights wrote past the targets of a route that has one; that row names the split route now.

--- a/conf/conf.h
+++ b/conf/conf.h
@@ -135,6 +135,9 @@
 /** Prints every fault, a line each. */
 void conf_print_faults(FILE *out, const conf_faults_t *f);
 
+/** Writes the first fault with its place and kind. */
+void conf_first_fault(const conf_faults_t *f, char *to, size_t room);
+
 /**
  * Reads and checks a document. Returns NULL when any fault was found; the
  * same text gives the same verdict everywhere.
--- a/conf/conf_error.c
+++ b/conf/conf_error.c
@@ -41,6 +41,14 @@
 	va_end(ap);
 }
 
+void conf_first_fault(const conf_faults_t *f, char *to, size_t room)
+{
+	const conf_fault_t *v = &f->v[0];
+
+	snprintf(to, room, "%s: %s%s%s", v->path, conf_strerror(v->err),
+		 *v->detail ? ": " : "", v->detail);
+}
+
 void conf_print_faults(FILE *out, const conf_faults_t *f)
 {
 	size_t n = f->n < CONF_MAX_FAULTS ? f->n : CONF_MAX_FAULTS;
--- /dev/null
+++ b/conf/routes_parse.c
@@ -0,0 +1,244 @@
+/** @file routes_parse.c Reads the routes of the project's own format. */
+#include <ctype.h>
+#include <stdlib.h>
+
+#include "libconf.h"
+
+#define MAX_BYTES ((uint64_t)1 << 30) /* of what a caller may send */
+#define MAX_PRIORITY 1000
+#define MAX_ATTEMPTS 16
+#define MAX_WEIGHT 1000000
+#define RECORD_DEFAULT 16 /* bytes */
+
+static void parse_limits(conf_cursor_t *cu, json_t *o, rt_limits_t *l);
+static void parse_services(conf_cursor_t *cu, json_t *o, rt_conf_t *c);
+static void parse_routes(conf_cursor_t *cu, json_t *o, rt_conf_t *c);
+static void parse_route(conf_cursor_t *cu, json_t *o, rt_conf_t *c,
+			rt_route_t *r);
+
+static usec_t get_ms(conf_cursor_t *cu, json_t *o, const char *key,
+		     uint64_t dflt)
+{
+	uint64_t ms = cur_num(cu, o, key, dflt, 1, CONF_MAX_DEADLINE_MS);
+
+	return (usec_t)ms * USEC_PER_MSEC;
+}
+
+static void parse_limits(conf_cursor_t *cu, json_t *o, rt_limits_t *l)
+{
+	static const char *const keys[] = { "header_bytes", "body_bytes",
+					    "header_ms", "idle_ms", NULL };
+	size_t n = cur_enter(cu, "limits");
+
+	cur_keys(cu, o, keys);
+	l->header_bytes = (size_t)cur_num(cu, o, "header_bytes", UINT64_MAX, 1,
+					  MAX_BYTES);
+	l->body_bytes =
+		(size_t)cur_num(cu, o, "body_bytes", UINT64_MAX, 0, MAX_BYTES);
+	l->header_time = get_ms(cu, o, "header_ms", UINT64_MAX);
+	l->idle_time = get_ms(cu, o, "idle_ms", UINT64_MAX);
+	cur_leave(cu, n);
+}
+
+static void parse_services(conf_cursor_t *cu, json_t *o, rt_conf_t *c)
+{
+	static const char *const keys[] = { "connections", NULL };
+	size_t n = cur_enter(cu, "services"), m;
+	const char *key;
+	json_t *v;
+
+	c->services = arena_alloc(cu->mem,
+				  json_object_size(o) * sizeof(rt_service_t));
+	json_object_foreach(o, key, v) {
+		rt_service_t *s = &c->services[c->nservices++];
+
+		m = cur_enter(cu, key);
+		s->name = arena_str(cu->mem, str_of(key));
+		if (cur_is_object(cu, v)) {
+			cur_keys(cu, v, keys);
+			s->connections = (unsigned)cur_num(
+				cu, v, "connections", UINT64_MAX, 1,
+				CONF_MAX_CONNECTIONS);
+		}
+		cur_leave(cu, m);
+	}
+	cur_leave(cu, n);
+}
+
+static void set_target(conf_cursor_t *cu, const rt_conf_t *c, rt_target_t *t,
+		       const char *key, str_t name, unsigned weight)
+{
+	t->service = rt_conf_service(c, name);
+	t->weight = weight;
+	if (t->service == c->nservices)
+		cur_fault(cu, CONF_E_REFERENCE, key, name.s ? name.s : "");
+}
+
+/* "shards": a list of services, each of which answers with a part. */
+static void parse_shards(conf_cursor_t *cu, json_t *a, const rt_conf_t *c,
+			 rt_route_t *r)
+{
+	size_t i;
+
+	r->mode = RT_SHARDS;
+	r->targets = cur_array(cu, a, CONF_MAX_GROUPS, sizeof(*r->targets),
+			       &r->ntargets);
+	for (i = 0; i < r->ntargets; i++) {
+		json_t *v = json_array_get(a, i);
+
+		set_target(
+			cu, c, &r->targets[i], "shards",
+			(str_t){ json_string_value(v), json_string_length(v) },
+			1);
+	}
+}
+
+/* "split": services with the weight that each has. */
+static void parse_split(conf_cursor_t *cu, json_t *o, const rt_conf_t *c,
+			rt_route_t *r)
+{
+	const char *key;
+	json_t *v;
+
+	r->targets =
+		arena_alloc(cu->mem, json_object_size(o) * sizeof(*r->targets));
+	json_object_foreach(o, key, v) {
+		if (!json_is_integer(v) || json_integer_value(v) < 0 ||
+		    json_integer_value(v) > MAX_WEIGHT)
+			cur_fault(cu, CONF_E_RANGE, "split", key);
+		set_target(cu, c, &r->targets[r->ntargets++], "split",
+			   str_of(key), (unsigned)json_integer_value(v));
+	}
+}
+
+/* One of three members says where the requests go. */
+static void parse_targets(conf_cursor_t *cu, json_t *o, const rt_conf_t *c,
+			  rt_route_t *r)
+{
+	json_t *shards = json_object_get(o, "shards");
+	json_t *split = json_object_get(o, "split");
+	json_t *one = json_object_get(o, "service");
+
+	if (!!shards + !!split + !!one != 1) {
+		cur_fault(cu, CONF_E_MISSING, "service",
+			  "one of service, split and shards is needed");
+		return;
+	}
+	r->mode = RT_ONE;
+	if (shards) {
+		parse_shards(cu, cur_need(cu, o, "shards", JSON_ARRAY), c, r);
+	} else if (split) {
+		parse_split(cu, cur_need(cu, o, "split", JSON_OBJECT), c, r);
+	} else {
+		r->ntargets = 1;
+		r->targets = arena_alloc(cu->mem, sizeof(*r->targets));
+		set_target(cu, c, r->targets, "service",
+			   cur_str(cu, o, "service", false), 1);
+	}
+}
+
+static str_t lower(str_t v)
+{
+	char *p = (char *)v.s; /* a copy of the arena's */
+	size_t i;
+
+	for (i = 0; i < v.sz; i++)
+		p[i] = (char)tolower((unsigned char)p[i]);
+	return v;
+}
+
+static void parse_route(conf_cursor_t *cu, json_t *o, rt_conf_t *c,
+			rt_route_t *r)
+{
+	static const char *const keys[] = { "host",	    "prefix",
+					    "idempotent",   "deadline_ms",
+					    "objective_ms", "attempts",
+					    "priority",	    "min_coverage",
+					    "top",	    "record_bytes",
+					    "shards",	    "split",
+					    "service",	    NULL };
+
+	cur_keys(cu, o, keys);
+	r->host = lower(cur_str(cu, o, "host", false));
+	r->prefix = cur_str(cu, o, "prefix", false);
+	r->idempotent = cur_bool(cu, o, "idempotent", false);
+	r->timeout = get_ms(cu, o, "deadline_ms", UINT64_MAX);
+	r->objective = get_ms(cu, o, "objective_ms",
+			      (uint64_t)(r->timeout / USEC_PER_MSEC));
+	r->attempts = (unsigned)cur_num(cu, o, "attempts", 1, 1, MAX_ATTEMPTS);
+	r->priority = (unsigned)cur_num(cu, o, "priority", 0, 0, MAX_PRIORITY);
+	r->least = cur_share(cu, o, "min_coverage");
+	r->top = (size_t)cur_num(cu, o, "top", 0, 0, RT_MAX_TOP);
+	r->record_bytes = (size_t)cur_num(cu, o, "record_bytes", RECORD_DEFAULT,
+					  1, RT_MAX_RECORD);
+	parse_targets(cu, o, c, r);
+}
+
+static void parse_routes(conf_cursor_t *cu, json_t *o, rt_conf_t *c)
+{
+	size_t n = cur_enter(cu, "routes"), m;
+	const char *key;
+	json_t *v;
+
+	if (json_object_size(o) > RT_MAX_ROUTES) {
+		conf_fault(cu->f, CONF_E_SIZE, cu->path, "at most %d routes",
+			   RT_MAX_ROUTES);
+		goto out;
+	}
+	c->routes =
+		arena_alloc(cu->mem, json_object_size(o) * sizeof(rt_route_t));
+	json_object_foreach(o, key, v) {
+		rt_route_t *r = &c->routes[c->nroutes++];
+
+		m = cur_enter(cu, key);
+		r->name = arena_str(cu->mem, str_of(key));
+		if (cur_is_object(cu, v))
+			parse_route(cu, v, c, r);
+		cur_leave(cu, m);
+	}
+out:
+	cur_leave(cu, n);
+}
+
+static void parse_document(conf_cursor_t *cu, json_t *root, rt_conf_t *c)
+{
+	static const char *const keys[] = { "revision", "limits", "services",
+					    "routes", NULL };
+	json_t *limits, *services, *routes;
+
+	cur_keys(cu, root, keys);
+	c->version = cur_num(cu, root, "revision", UINT64_MAX, 1, INT64_MAX);
+	limits = cur_need(cu, root, "limits", JSON_OBJECT);
+	services = cur_need(cu, root, "services", JSON_OBJECT);
+	routes = cur_need(cu, root, "routes", JSON_OBJECT);
+	if (limits)
+		parse_limits(cu, limits, &c->limits);
+	/* Routes name services. */
+	if (services)
+		parse_services(cu, services, c);
+	if (routes)
+		parse_routes(cu, routes, c);
+}
+
+rt_conf_t *rt_conf_parse(str_t text, conf_faults_t *f)
+{
+	rt_conf_t *c = rt_conf_new();
+	conf_cursor_t cu = { .mem = &c->mem, .f = f };
+	json_error_t err;
+	json_t *root;
+
+	root = json_loadb(text.s ? text.s : "", text.sz, JSON_REJECT_DUPLICATES,
+			  &err);
+	if (!root)
+		conf_fault(f, CONF_E_JSON, "/", "line %d: %s", err.line,
+			   err.text);
+	else if (cur_is_object(&cu, root))
+		parse_document(&cu, root, c);
+	if (f->n == 0)
+		rt_conf_check(c, f);
+	json_decref(root);
+	if (f->n == 0)
+		return c;
+	rt_conf_unref(c);
+	return NULL;
+}
--- /dev/null
+++ b/conf/routes_print.c
@@ -0,0 +1,76 @@
+/** @file routes_print.c Prints routes as canonical JSON. */
+#include "libconf.h"
+
+static json_t *jstr(str_t v)
+{
+	return json_stringn(v.s ? v.s : "", v.sz);
+}
+
+static json_t *limits_json(const rt_limits_t *l)
+{
+	return json_pack("{sI sI sI sI}", "header_bytes",
+			 (json_int_t)l->header_bytes, "body_bytes",
+			 (json_int_t)l->body_bytes, "header_ms",
+			 (json_int_t)(l->header_time / USEC_PER_MSEC),
+			 "idle_ms", (json_int_t)(l->idle_time / USEC_PER_MSEC));
+}
+
+static void set_targets(json_t *o, const rt_conf_t *c, const rt_route_t *r)
+{
+	json_t *to = r->mode == RT_SHARDS ? json_array() : json_object();
+	size_t i;
+
+	for (i = 0; i < r->ntargets; i++) {
+		const rt_service_t *s = &c->services[r->targets[i].service];
+
+		if (r->mode == RT_SHARDS)
+			json_array_append_new(to, jstr(s->name));
+		else
+			json_object_setn_new(
+				to, s->name.s, s->name.sz,
+				json_integer(r->targets[i].weight));
+	}
+	json_object_set_new(o, r->mode == RT_SHARDS ? "shards" : "split", to);
+}
+
+static json_t *route_json(const rt_conf_t *c, const rt_route_t *r)
+{
+	json_t *o;
+
+	o = json_pack("{so so sb sI sI sI sI sf sI sI}", "host", jstr(r->host),
+		      "prefix", jstr(r->prefix), "idempotent", r->idempotent,
+		      "deadline_ms", (json_int_t)(r->timeout / USEC_PER_MSEC),
+		      "objective_ms",
+		      (json_int_t)(r->objective / USEC_PER_MSEC), "attempts",
+		      (json_int_t)r->attempts, "priority",
+		      (json_int_t)r->priority, "min_coverage", r->least, "top",
+		      (json_int_t)r->top, "record_bytes",
+		      (json_int_t)r->record_bytes);
+	set_targets(o, c, r);
+	return o;
+}
+
+char *rt_conf_text(const rt_conf_t *c)
+{
+	json_t *services = json_object();
+	json_t *routes = json_object();
+	json_t *root;
+	char *text;
+	size_t i;
+
+	for (i = 0; i < c->nservices; i++)
+		json_object_setn_new(
+			services, c->services[i].name.s, c->services[i].name.sz,
+			json_pack("{sI}", "connections",
+				  (json_int_t)c->services[i].connections));
+	for (i = 0; i < c->nroutes; i++)
+		json_object_setn_new(routes, c->routes[i].name.s,
+				     c->routes[i].name.sz,
+				     route_json(c, &c->routes[i]));
+	root = json_pack("{sI so so so}", "revision", (json_int_t)c->version,
+			 "limits", limits_json(&c->limits), "services",
+			 services, "routes", routes);
+	text = json_dumps(root, JSON_INDENT(1) | JSON_SORT_KEYS);
+	json_decref(root);
+	return text;
+}
--- a/tests/route_rig.c
+++ b/tests/route_rig.c
@@ -67,6 +67,7 @@
 		{ "/once/", RT_ONE, false, 1, 200, 1 },
 		{ "/split/", RT_ONE, true, 1, 200, 2 },
 	};
+	static conf_faults_t f;
 	rt_conf_t *c = rt_conf_new();
 	char buf[24];
 	size_t i, j;
@@ -102,7 +103,8 @@
 		for (j = 0; j < r->ntargets; j++)
 			r->targets[j] = (rt_target_t){ j, 1 };
 	}
-	CU_ASSERT_PTR_NULL(rt_conf_check(c));
+	rt_conf_check(c, &f);
+	CU_ASSERT_EQUAL(f.n, 0);
 	return c;
 }
 
--- a/tests/unit_conf.c
+++ b/tests/unit_conf.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "conf.h"
+#include "routes.h"
 #include "unit.h"
 
 #define FLEET                                                                  \
@@ -164,6 +164,83 @@
 		}
 }
 
+#define ROUTE_DOC(route)                                                       \
+	"{\"revision\":4,\"limits\":{\"header_bytes\":1000,"                   \
+	"\"body_bytes\":0,\"header_ms\":300,\"idle_ms\":5000},"                \
+	"\"services\":{\"a\":{\"connections\":30},"                            \
+	"\"b\":{\"connections\":9}},\"routes\":{\"r\":{"                       \
+	"\"host\":\"H.ex\",\"deadline_ms\":800," route "}}}"
+
+static void test_routes(void)
+{
+	static const struct {
+		const char *text;
+		conf_err_t err; /* of the first fault */
+		const char *path;
+	} cases[] = {
+		{ ROUTE_DOC("\"prefix\":\"/\",\"service\":\"a\""), CONF_E_OK,
+		  "" },
+		{ ROUTE_DOC("\"prefix\":\"/\",\"split\":{\"a\":3,\"b\":1}"),
+		  CONF_E_OK, "" },
+		{ ROUTE_DOC("\"prefix\":\"/\",\"idempotent\":true,\"top\":5,"
+			    "\"shards\":[\"a\",\"b\"]"),
+		  CONF_E_OK, "" },
+		{ "nothing", CONF_E_JSON, "/" },
+		{ "[]", CONF_E_TYPE, "" },
+		{ "{\"revision\":1}", CONF_E_MISSING, "/limits" },
+		{ ROUTE_DOC("\"service\":\"a\""), CONF_E_MISSING,
+		  "/routes/r/prefix" },
+		{ ROUTE_DOC("\"prefix\":\"/x\",\"service\":\"a\""),
+		  CONF_E_RANGE, "/routes/r/prefix" },
+		{ ROUTE_DOC("\"prefix\":\"/\""), CONF_E_MISSING,
+		  "/routes/r/service" },
+		{ ROUTE_DOC("\"prefix\":\"/\",\"service\":\"a\","
+			    "\"shards\":[\"a\"]"),
+		  CONF_E_MISSING, "/routes/r/service" },
+		{ ROUTE_DOC("\"prefix\":\"/\",\"service\":\"c\""),
+		  CONF_E_REFERENCE, "/routes/r/service" },
+		{ ROUTE_DOC("\"prefix\":\"/\",\"split\":{\"a\":-1}"),
+		  CONF_E_RANGE, "/routes/r/split" },
+		{ ROUTE_DOC("\"prefix\":\"/\",\"split\":{\"a\":0}"),
+		  CONF_E_RANGE, "/routes/r/split" },
+		{ ROUTE_DOC("\"prefix\":\"/\",\"top\":5,"
+			    "\"shards\":[\"a\",\"b\"]"),
+		  CONF_E_NONIDEMPOTENT_SCOPE, "/routes/r/idempotent" },
+		{ ROUTE_DOC("\"prefix\":\"/\",\"idempotent\":true,"
+			    "\"shards\":[\"a\",7]"),
+		  CONF_E_REFERENCE, "/routes/r/shards" },
+		{ ROUTE_DOC("\"prefix\":\"/\",\"service\":\"a\",\"x\":1"),
+		  CONF_E_UNKNOWN_KEY, "/routes/r/x" },
+		{ ROUTE_DOC("\"prefix\":\"/\",\"service\":\"a\","
+			    "\"min_coverage\":2"),
+		  CONF_E_RANGE, "/routes/r/min_coverage" },
+	};
+	static conf_faults_t f;
+	rt_conf_t *c, *again;
+	char *once, *twice;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		f.n = 0;
+		c = rt_conf_parse(str_of(cases[i].text), &f);
+		CU_ASSERT_EQUAL(c == NULL, cases[i].err != CONF_E_OK);
+		CU_ASSERT_EQUAL(f.n ? f.v[0].err : CONF_E_OK, cases[i].err);
+		CU_ASSERT_STRING_EQUAL(f.n ? f.v[0].path : "", cases[i].path);
+		if (!c)
+			continue;
+		CU_ASSERT(str_eq(c->routes[0].host, STR("h.ex")));
+		once = rt_conf_text(c);
+		again = rt_conf_parse(str_of(once), &f);
+		CU_ASSERT_PTR_NOT_NULL(again);
+		twice = again ? rt_conf_text(again) : strdup("");
+		CU_ASSERT_STRING_EQUAL(once, twice);
+		free(once);
+		free(twice);
+		rt_conf_unref(c);
+		rt_conf_unref(again);
+	}
+}
+
 void unit_conf(void)
 {
 	CU_pSuite s = CU_add_suite("conf", NULL, NULL);
@@ -173,4 +250,5 @@
 	CU_add_test(s, "builder collects", test_builder_collects);
 	CU_add_test(s, "store delta", test_store_delta);
 	CU_add_test(s, "share", test_share);
+	CU_add_test(s, "routes", test_routes);
 }
--- a/tests/unit_route.c
+++ b/tests/unit_route.c
@@ -182,11 +182,20 @@
 static void test_faulty_conf(void)
 {
 	static const struct {
-		const char *what;
+		const char *path; /* of the fault */
+		conf_err_t err;
 		size_t route;
-	} cases[] = { { "prefix", 0 },	{ "attempts", 1 }, { "once", 0 },
-		      { "service", 2 }, { "weight", 4 },   { "least", 0 },
-		      { "timeout", 3 }, { "version", 0 } };
+	} cases[] = {
+		{ "/routes//all//prefix", CONF_E_RANGE, 0 },
+		{ "/routes//low//attempts", CONF_E_RANGE, 1 },
+		{ "/routes//all//idempotent", CONF_E_NONIDEMPOTENT_SCOPE, 0 },
+		{ "/routes//one//service", CONF_E_REFERENCE, 3 },
+		{ "/routes//split//split", CONF_E_RANGE, 5 },
+		{ "/routes//all//min_coverage", CONF_E_RANGE, 0 },
+		{ "/routes//once//deadline_ms", CONF_E_RANGE, 4 },
+		{ "/revision", CONF_E_RANGE, 0 },
+	};
+	static conf_faults_t f;
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
@@ -219,7 +228,11 @@
 			c->version = 0;
 			break;
 		}
-		CU_ASSERT_PTR_NOT_NULL(rt_conf_check(c));
+		f.n = 0;
+		rt_conf_check(c, &f);
+		CU_ASSERT_EQUAL(f.n, 1);
+		CU_ASSERT_EQUAL(f.v[0].err, cases[i].err);
+		CU_ASSERT_STRING_EQUAL(f.v[0].path, cases[i].path);
 		rt_conf_unref(c);
 	}
 }
