Check, diff and route know configurations of routes

Cause: the operators' command knew the configuration of searches only. Change: check and diff read a file with routes as such; route tells which route a host and path take.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
 
-PROGRAMS = geraniumslipd standin-upstream standin-platform scenario edge-test soak \
+PROGRAMS = geraniumslipd standin-upstream standin-platform scenario edge-test ctl-test soak \
 	experiment spread bench unit deploy-marea-viva deploy-balapan
 ifneq ($(CTL),)
 PROGRAMS += geraniumslip
@@ -68,6 +68,9 @@
 	daemon/outside.c daemon/listen.c tests/soak/soak.c)
 	$(CC) -o $@ $^ $(LIBS)
 
+$(BUILD)/ctl-test: $(call obj,tests/ctl_main.c)
+	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
+
 PLAY = $(filter-out tests/scenario_main.c,$(SCENARIO))
 $(BUILD)/experiment: $(call obj,$(BASE) $(CONF) $(LAB) $(PLAY) standin/experiment.c)
 	$(CC) -o $@ $^ $(LIBS)
--- a/ctl/ctl_conf.c
+++ b/ctl/ctl_conf.c
@@ -6,13 +6,7 @@
 
 #include "libctl.h"
 
-/* The differences of two configurations, as they are found. */
-typedef struct diff {
-	json_t *rows;
-	bool warned;
-} diff_t;
-
-static json_t *faults_json(const conf_faults_t *f)
+json_t *ctl_faults_json(const conf_faults_t *f)
 {
 	size_t n = f->n < CONF_MAX_FAULTS ? f->n : CONF_MAX_FAULTS;
 	json_t *a = json_array();
@@ -26,7 +20,7 @@
 	return a;
 }
 
-static void print_json(json_t *o)
+void ctl_print_json(json_t *o)
 {
 	char *text = json_dumps(o, JSON_INDENT(1));
 
@@ -35,20 +29,30 @@
 	json_decref(o);
 }
 
-static conf_t *read_conf(const char *file, conf_faults_t *f, ctl_exit_t *status)
+bool ctl_read_file(const char *file, str_t *text, ctl_exit_t *status)
 {
-	char *text = NULL;
+	gchar *bytes = NULL;
 	gsize sz;
-	conf_t *c;
 
-	if (!g_file_get_contents(file, &text, &sz, NULL)) {
+	if (!g_file_get_contents(file, &bytes, &sz, NULL)) {
 		fprintf(stderr, "geraniumslip: %s: cannot be read\n", file);
 		*status = CTL_USAGE;
-		return NULL;
+		return false;
 	}
-	c = conf_parse((str_t){ text, sz }, f);
+	*text = (str_t){ bytes, sz };
+	return true;
+}
+
+static conf_t *read_conf(const char *file, conf_faults_t *f, ctl_exit_t *status)
+{
+	conf_t *c;
+	str_t text;
+
+	if (!ctl_read_file(file, &text, status))
+		return NULL;
+	c = conf_parse(text, f);
 	*status = c ? CTL_OK : CTL_FAULTS;
-	g_free(text);
+	str_free(text);
 	return c;
 }
 
@@ -65,29 +69,39 @@
 	return c;
 }
 
-ctl_exit_t command_check(ctl_t *c)
+void ctl_print_check(const ctl_t *c, const char *file, const conf_faults_t *f,
+		     uint64_t revision)
 {
-	conf_faults_t *f = g_new0(conf_faults_t, 1);
-	ctl_exit_t status;
-	conf_t *conf = read_conf(c->args[0], f, &status);
-
-	if (status == CTL_USAGE)
-		goto out;
 	if (c->json)
-		print_json(json_pack("{sb so}", "valid", conf != NULL, "faults",
-				     faults_json(f)));
-	else if (conf)
-		printf("%s: valid, revision %llu\n", c->args[0],
-		       (unsigned long long)conf->revision);
+		ctl_print_json(json_pack("{sb so}", "valid", f->n == 0,
+					 "faults", ctl_faults_json(f)));
+	else if (f->n == 0)
+		printf("%s: valid, revision %llu\n", file,
+		       (unsigned long long)revision);
 	else
 		conf_print_faults(stdout, f);
-out:
+}
+
+static ctl_exit_t check(ctl_t *c, const char *file)
+{
+	conf_faults_t *f = g_new0(conf_faults_t, 1);
+	ctl_exit_t status;
+	conf_t *conf = read_conf(file, f, &status);
+
+	if (status != CTL_USAGE)
+		ctl_print_check(c, file, f, conf ? conf->revision : 0);
 	conf_free(conf);
 	g_free(f);
 	return status;
 }
 
-static void G_GNUC_PRINTF(3, 4) note(diff_t *d, bool warn, const char *fmt, ...)
+ctl_exit_t command_check(ctl_t *c)
+{
+	return ctl_has_routes(c->args[0]) ? routes_check(c, c->args[0])
+					  : check(c, c->args[0]);
+}
+
+void ctl_note(ctl_diff_t *d, bool warn, const char *fmt, ...)
 {
 	char text[256];
 	va_list ap;
@@ -120,7 +134,7 @@
 	return false;
 }
 
-static void diff_group(diff_t *d, const conf_service_t *s,
+static void diff_group(ctl_diff_t *d, const conf_service_t *s,
 		       const conf_group_t *a, const conf_group_t *b)
 {
 	size_t kept = 0, i;
@@ -129,21 +143,22 @@
 		kept += has_server(b, a->servers[i].addr);
 	if (kept == a->nservers && kept == b->nservers)
 		return;
-	note(d, b->nservers < a->nservers || kept == 0,
-	     "%.*s/%.*s: %zu servers become %zu, %zu of them stay%s",
-	     STR_ARG(s->name), STR_ARG(a->name), a->nservers, b->nservers, kept,
-	     kept ? "" : ": all connections begin anew");
+	ctl_note(d, b->nservers < a->nservers || kept == 0,
+		 "%.*s/%.*s: %zu servers become %zu, %zu of them stay%s",
+		 STR_ARG(s->name), STR_ARG(a->name), a->nservers, b->nservers,
+		 kept, kept ? "" : ": all connections begin anew");
 }
 
-static void diff_number(diff_t *d, const conf_service_t *s, const char *what,
-			unsigned long a, unsigned long b, bool less_is_bad)
+static void diff_number(ctl_diff_t *d, const conf_service_t *s,
+			const char *what, unsigned long a, unsigned long b,
+			bool less_is_bad)
 {
 	if (a != b)
-		note(d, less_is_bad && b < a, "%.*s: %s %lu becomes %lu",
-		     STR_ARG(s->name), what, a, b);
+		ctl_note(d, less_is_bad && b < a, "%.*s: %s %lu becomes %lu",
+			 STR_ARG(s->name), what, a, b);
 }
 
-static void diff_class(diff_t *d, const conf_service_t *s,
+static void diff_class(ctl_diff_t *d, const conf_service_t *s,
 		       const conf_class_t *a, const conf_class_t *b)
 {
 	char what[128];
@@ -160,14 +175,14 @@
 		 STR_ARG(a->name));
 	diff_number(d, s, what, a->min_coverage, b->min_coverage, true);
 	if (a->idempotent != b->idempotent)
-		note(d, b->idempotent,
-		     "%.*s: class %.*s becomes %s: it may%s run twice",
-		     STR_ARG(s->name), STR_ARG(a->name),
-		     b->idempotent ? "idempotent" : "non-idempotent",
-		     b->idempotent ? "" : " not");
+		ctl_note(d, b->idempotent,
+			 "%.*s: class %.*s becomes %s: it may%s run twice",
+			 STR_ARG(s->name), STR_ARG(a->name),
+			 b->idempotent ? "idempotent" : "non-idempotent",
+			 b->idempotent ? "" : " not");
 }
 
-static void diff_classes(diff_t *d, const conf_service_t *a,
+static void diff_classes(ctl_diff_t *d, const conf_service_t *a,
 			 const conf_service_t *b)
 {
 	const conf_class_t *k;
@@ -178,16 +193,16 @@
 		if (k)
 			diff_class(d, a, &a->classes[i], k);
 		else
-			note(d, true, "%.*s: class %.*s is removed",
-			     STR_ARG(a->name), STR_ARG(a->classes[i].name));
+			ctl_note(d, true, "%.*s: class %.*s is removed",
+				 STR_ARG(a->name), STR_ARG(a->classes[i].name));
 	}
 	for (i = 0; i < b->nclasses; i++)
 		if (!conf_class(a, b->classes[i].name))
-			note(d, false, "%.*s: class %.*s is added",
-			     STR_ARG(b->name), STR_ARG(b->classes[i].name));
+			ctl_note(d, false, "%.*s: class %.*s is added",
+				 STR_ARG(b->name), STR_ARG(b->classes[i].name));
 }
 
-static void diff_service(diff_t *d, const conf_service_t *a,
+static void diff_service(ctl_diff_t *d, const conf_service_t *a,
 			 const conf_service_t *b)
 {
 	const conf_group_t *g;
@@ -206,35 +221,36 @@
 	diff_classes(d, a, b);
 }
 
-static void diff_all(diff_t *d, const conf_t *a, const conf_t *b)
+static void diff_all(ctl_diff_t *d, const conf_t *a, const conf_t *b)
 {
 	const conf_service_t *s;
 	size_t i;
 
 	if (b->revision <= a->revision)
-		note(d, true,
-		     "revision %llu is not above %llu: no daemon will take it",
-		     (unsigned long long)b->revision,
-		     (unsigned long long)a->revision);
+		ctl_note(d, true,
+			 "revision %llu is not above %llu: no daemon will take "
+			 "it",
+			 (unsigned long long)b->revision,
+			 (unsigned long long)a->revision);
 	if (a->max_daemons != b->max_daemons)
-		note(d, b->max_daemons < a->max_daemons,
-		     "most daemons at one time: %u becomes %u", a->max_daemons,
-		     b->max_daemons);
+		ctl_note(d, b->max_daemons < a->max_daemons,
+			 "most daemons at one time: %u becomes %u",
+			 a->max_daemons, b->max_daemons);
 	for (i = 0; i < a->nservices; i++) {
 		s = conf_service(b, a->services[i].name);
 		if (s)
 			diff_service(d, &a->services[i], s);
 		else
-			note(d, true, "%.*s: the service is removed",
-			     STR_ARG(a->services[i].name));
+			ctl_note(d, true, "%.*s: the service is removed",
+				 STR_ARG(a->services[i].name));
 	}
 	for (i = 0; i < b->nservices; i++)
 		if (!conf_service(a, b->services[i].name))
-			note(d, false, "%.*s: the service is added",
-			     STR_ARG(b->services[i].name));
+			ctl_note(d, false, "%.*s: the service is added",
+				 STR_ARG(b->services[i].name));
 }
 
-static void print_diff(const diff_t *d)
+static void print_diff(const ctl_diff_t *d)
 {
 	json_t *row;
 	size_t i;
@@ -249,26 +265,37 @@
 		puts("no differences");
 }
 
-ctl_exit_t command_diff(ctl_t *c)
+ctl_exit_t ctl_print_diff(const ctl_t *c, ctl_diff_t *d)
 {
-	diff_t d = { .rows = json_array() };
-	ctl_exit_t status;
-	conf_t *a = ctl_read_conf(c->args[0], &status);
-	conf_t *b = a ? ctl_read_conf(c->args[1], &status) : NULL;
-
-	if (!b)
-		goto out;
-	diff_all(&d, a, b);
-	if (json_array_size(d.rows))
-		status = d.warned ? CTL_WARNINGS : CTL_FAULTS;
+	ctl_exit_t status = CTL_OK;
+
+	if (json_array_size(d->rows))
+		status = d->warned ? CTL_WARNINGS : CTL_FAULTS;
 	if (c->json) {
-		print_json(d.rows);
-		d.rows = NULL;
+		ctl_print_json(d->rows);
 	} else {
-		print_diff(&d);
+		print_diff(d);
+		json_decref(d->rows);
+	}
+	d->rows = NULL;
+	return status;
+}
+
+ctl_exit_t command_diff(ctl_t *c)
+{
+	ctl_diff_t d = { 0 };
+	ctl_exit_t status;
+	conf_t *a, *b;
+
+	if (ctl_has_routes(c->args[0]))
+		return routes_diff(c, c->args[0], c->args[1]);
+	a = ctl_read_conf(c->args[0], &status);
+	b = a ? ctl_read_conf(c->args[1], &status) : NULL;
+	if (b) {
+		d.rows = json_array();
+		diff_all(&d, a, b);
+		status = ctl_print_diff(c, &d);
 	}
-out:
-	json_decref(d.rows);
 	conf_free(a);
 	conf_free(b);
 	return status;
--- a/ctl/geraniumslip.c
+++ b/ctl/geraniumslip.c
@@ -14,6 +14,8 @@
 } commands[] = {
 	{ "check", command_check, 1, "FILE", "check a configuration" },
 	{ "diff", command_diff, 2, "OLD NEW", "what a change does" },
+	{ "route", command_route, 3, "FILE HOST PATH",
+	  "which route a request takes" },
 	{ "status", command_status, 0, "", "daemons and what they believe" },
 	{ "upstreams", command_upstreams, 0, "",
 	  "servers as daemons see them" },
