The project's own way of speaking beside the platform's

Cause: routed requests could be served on the users' platform only; the product had no interface of its own for them. Change: a second row of the table in daemon/outside.h: Gs- header lines, items of published state as JSON, the project's own format of routes.

--- a/Makefile
+++ b/Makefile
@@ -58,14 +58,15 @@
 	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
 
 WORLD = $(wildcard standin/world*.c)
-$(BUILD)/edge-test: $(call obj,$(BASE) $(ROUTE) $(FLEET) wire/wire_scan.c \
-	$(PLATFORM) $(WORLD) standin/http.c daemon/edge_http.c \
-	daemon/outside.c daemon/listen.c tests/edge_main.c)
+# What stand-ins share with the daemon: formats, and reading HTTP.
+SPEECH = $(BASE) $(CONF) $(ROUTE) $(FLEET) wire/wire_scan.c $(PLATFORM) \
+	daemon/edge_http.c daemon/outside.c daemon/outside_own.c \
+	daemon/listen.c
+
+$(BUILD)/edge-test: $(call obj,$(SPEECH) $(WORLD) standin/http.c tests/edge_main.c)
 	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
 
-$(BUILD)/soak: $(call obj,$(BASE) $(ROUTE) $(FLEET) wire/wire_scan.c \
-	$(PLATFORM) $(WORLD) standin/http.c daemon/edge_http.c \
-	daemon/outside.c daemon/listen.c tests/soak/soak.c)
+$(BUILD)/soak: $(call obj,$(SPEECH) $(WORLD) standin/http.c tests/soak/soak.c)
 	$(CC) -o $@ $^ $(LIBS)
 
 $(BUILD)/ctl-test: $(call obj,tests/ctl_main.c)
@@ -83,7 +84,8 @@
 
 UNIT = $(wildcard tests/unit_*.c) tests/route_rig.c
 $(BUILD)/unit: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) $(ROUTE) $(FLEET) \
-	$(PLATFORM) daemon/job.c daemon/edge_http.c daemon/outside.c $(UNIT))
+	$(PLATFORM) daemon/job.c daemon/edge_http.c daemon/outside.c \
+	daemon/outside_own.c $(UNIT))
 	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
 
 # The operators' library.
--- a/daemon/outside.c
+++ b/daemon/outside.c
@@ -1,10 +1,10 @@
 /** @file outside.c The ways of speaking that there are. */
 #include <string.h>
 
-#include "outside.h"
+#include "outside_own.h"
 #include "platform.h"
 
-static const outside_t *const rows[] = { &platform_outside };
+static const outside_t *const rows[] = { &own_outside, &platform_outside };
 
 const outside_t *outside_by_name(const char *name)
 {
--- /dev/null
+++ b/daemon/outside_own.c
@@ -0,0 +1,182 @@
+/**
+ * @file outside_own.c
+ * The project's own way of speaking with callers and servers of routes and
+ * with whoever publishes them; docs/PROTOCOLS.md describes it.
+ */
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "member.h"
+#include "outside_own.h"
+
+#define MAX_SLOTS 100000 /* more is a fault, not a server */
+#define MAX_WARM_MS ((uint64_t)3600000)
+
+static const char routes_key[] = "routes";
+static const char server_prefix[] = "servers/";
+
+static void list_path(char path[OUTSIDE_PATH_MAX], str_t after, bool stale);
+static void watch_path(char path[OUTSIDE_PATH_MAX], uint64_t after,
+		       usec_t wait);
+static bool read_items(str_t body, outside_items_t *items, arena_t *mem);
+static outside_kind_t kind(str_t key, str_t *server_id);
+static rt_conf_t *read_config(str_t value, char fault[OUTSIDE_FAULT_MAX]);
+static bool read_server(str_t id, str_t value, rt_entry_t *e, arena_t *mem,
+			char fault[OUTSIDE_FAULT_MAX]);
+
+const outside_t own_outside = {
+	.name = "own",
+	.headers = {
+		[OUTSIDE_ID] = "Gs-Request",
+		[OUTSIDE_TIME_LEFT] = "Gs-Deadline-Ms",
+		[OUTSIDE_SERVER_ID] = "Gs-Server",
+		[OUTSIDE_STAMP] = "Gs-Stamp",
+		[OUTSIDE_NOT_RUN] = "Gs-Refused",
+		[OUTSIDE_STAMPS] = "Gs-Stamps",
+		[OUTSIDE_MISSING] = "Gs-Missing",
+		[OUTSIDE_RETRY_AFTER] = "Retry-After",
+	},
+	.ready_path = "/ready",
+	.moved_status = 421,
+	.list_path = list_path,
+	.watch_path = watch_path,
+	.read_items = read_items,
+	.kind = kind,
+	.read_config = read_config,
+	.read_server = read_server,
+};
+
+static void list_path(char path[OUTSIDE_PATH_MAX], str_t after, bool stale)
+{
+	char *quoted = g_uri_escape_string(after.sz ? after.s : "", "/", FALSE);
+
+	snprintf(path, OUTSIDE_PATH_MAX, "/v1/published?after=%s%s", quoted,
+		 stale ? "&stale=1" : "");
+	g_free(quoted);
+}
+
+static void watch_path(char path[OUTSIDE_PATH_MAX], uint64_t after, usec_t wait)
+{
+	snprintf(path, OUTSIDE_PATH_MAX,
+		 "/v1/published/changes?since=%" PRIu64 "&wait_ms=%lld", after,
+		 (long long)(wait / USEC_PER_MSEC));
+}
+
+static bool read_item(json_t *o, outside_item_t *to, arena_t *mem)
+{
+	json_t *value = json_object_get(o, "value");
+	char *text;
+
+	if (!member_str(o, "key", &to->key) ||
+	    !member_whole(o, "revision", &to->revision))
+		return false;
+	to->key = arena_str(mem, to->key);
+	to->deleted = json_is_true(json_object_get(o, "deleted"));
+	if (to->deleted)
+		return true;
+	if (!value)
+		return false;
+	text = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+	to->value = arena_str(mem, str_of(text));
+	free(text);
+	return true;
+}
+
+static bool read_items(str_t body, outside_items_t *items, arena_t *mem)
+{
+	json_t *o = json_loadb(body.s ? body.s : "", body.sz, 0, NULL);
+	json_t *a = json_object_get(o, "items");
+	bool ok = false;
+	size_t i;
+	json_t *v;
+
+	*items = (outside_items_t){ 0 };
+	if (!json_is_array(a) || !member_whole(o, "revision", &items->revision))
+		goto out;
+	items->more = json_is_true(json_object_get(o, "more"));
+	items->v = arena_alloc(mem, json_array_size(a) * sizeof(*items->v));
+	json_array_foreach(a, i, v)
+		if (!read_item(v, &items->v[items->n++], mem))
+			goto out;
+	ok = true;
+out:
+	json_decref(o);
+	return ok;
+}
+
+static outside_kind_t kind(str_t key, str_t *server_id)
+{
+	str_t prefix = str_of(server_prefix);
+
+	if (str_eq(key, str_of(routes_key)))
+		return OUTSIDE_CONFIG;
+	if (key.sz <= prefix.sz || memcmp(key.s, prefix.s, prefix.sz) != 0)
+		return OUTSIDE_OTHER;
+	*server_id = (str_t){ key.s + prefix.sz, key.sz - prefix.sz };
+	return OUTSIDE_SERVER;
+}
+
+static rt_conf_t *read_config(str_t value, char fault[OUTSIDE_FAULT_MAX])
+{
+	conf_faults_t *f = xcalloc(1, sizeof(*f));
+	rt_conf_t *c = rt_conf_parse(value, f);
+
+	if (!c)
+		conf_first_fault(f, fault, OUTSIDE_FAULT_MAX);
+	free(f);
+	return c;
+}
+
+static const char *read_members(json_t *o, rt_entry_t *e, arena_t *mem)
+{
+	char host[ADDR_HOST_MAX];
+	str_t service, addr, dc;
+	uint64_t slots, warm_ms;
+	json_t *leaving = json_object_get(o, "leaving");
+	unsigned port;
+
+	if (!member_str(o, "service", &service) || service.sz == 0)
+		return "service";
+	if (!member_str(o, "addr", &addr) || !addr_split(addr, host, &port))
+		return "addr";
+	if (!member_str(o, "data_centre", &dc))
+		return "data_centre";
+	if (!member_whole(o, "slots", &slots) || slots == 0 ||
+	    slots > MAX_SLOTS)
+		return "slots";
+	if (!json_is_boolean(leaving))
+		return "leaving";
+	if (!member_whole(o, "warm_ms", &warm_ms) || warm_ms > MAX_WARM_MS)
+		return "warm_ms";
+	if (!member_whole(o, "incarnation", &e->incarnation))
+		return "incarnation";
+	if (!member_whole(o, "report", &e->report))
+		return "report";
+	e->service = arena_str(mem, service);
+	e->addr = arena_str(mem, addr);
+	e->dc = arena_str(mem, dc);
+	e->slots = (unsigned)slots;
+	e->draining = json_is_true(leaving);
+	e->warm_left = (usec_t)warm_ms * USEC_PER_MSEC;
+	return NULL;
+}
+
+static bool read_server(str_t id, str_t value, rt_entry_t *e, arena_t *mem,
+			char fault[OUTSIDE_FAULT_MAX])
+{
+	json_t *o = json_loadb(value.s ? value.s : "", value.sz, 0, NULL);
+	const char *bad = "the entry is not a JSON object";
+
+	*e = (rt_entry_t){ 0 };
+	if (json_is_object(o))
+		bad = read_members(o, e, mem);
+	json_decref(o);
+	if (bad)
+		snprintf(fault, OUTSIDE_FAULT_MAX, "bad or missing: %s", bad);
+	else
+		e->id = arena_str(mem, id);
+	return !bad;
+}
--- a/standin/world.c
+++ b/standin/world.c
@@ -72,24 +72,9 @@
 	g_free(it);
 }
 
-static void append_item(GString *out, const item_t *it)
+static void append_item(const world_t *w, GString *out, const item_t *it)
 {
-	char *text;
-
-	if (!it->value) {
-		g_string_append_printf(out,
-				       "{\"key\":\"%s\",\"revision\":%llu,"
-				       "\"tombstone\":true}",
-				       it->key,
-				       (unsigned long long)it->revision);
-		return;
-	}
-	text = g_base64_encode((const guchar *)it->value, strlen(it->value));
-	g_string_append_printf(out,
-			       "{\"key\":\"%s\",\"value\":\"%s\","
-			       "\"revision\":%llu,\"created\":1,\"lease\":0}",
-			       it->key, text, (unsigned long long)it->revision);
-	g_free(text);
+	w->speech->item(out, it->key, it->value, it->revision);
 }
 
 static void reply_json(struct bufferevent *bev, unsigned status,
@@ -104,7 +89,8 @@
 
 static void reply_list(world_t *w, struct bufferevent *bev)
 {
-	GString *out = g_string_new("{\"items\":[");
+	const char *const *form = w->speech->list;
+	GString *out = g_string_new(form[0]);
 	GHashTableIter it;
 	gpointer v;
 	bool first = true;
@@ -114,10 +100,10 @@
 		if (!((item_t *)v)->value)
 			continue;
 		g_string_append(out, first ? "" : ",");
-		append_item(out, v);
+		append_item(w, out, v);
 		first = false;
 	}
-	g_string_append_printf(out, "],\"hasMore\":false,\"atRev\":%llu}",
+	g_string_append_printf(out, "%s%llu}", form[1],
 			       (unsigned long long)w->revision);
 	reply_json(bev, 200, out);
 	g_string_free(out, TRUE);
@@ -127,7 +113,8 @@
 static bool reply_changes(world_t *w, struct bufferevent *bev, uint64_t after,
 			  bool always)
 {
-	GString *out = g_string_new("{\"events\":[");
+	const char *const *form = w->speech->changes;
+	GString *out = g_string_new(form[0]);
 	bool first = true;
 	guint i;
 
@@ -137,10 +124,10 @@
 		if (it->revision <= after)
 			continue;
 		g_string_append(out, first ? "" : ",");
-		append_item(out, it);
+		append_item(w, out, it);
 		first = false;
 	}
-	g_string_append_printf(out, "],\"atRev\":%llu}",
+	g_string_append_printf(out, "%s%llu}", form[1],
 			       (unsigned long long)w->revision);
 	if (!first || always)
 		reply_json(bev, 200, out);
@@ -193,8 +180,8 @@
 {
 	str_t target = http_msg_start(&c->msg);
 	world_t *w = c->w;
-	uint64_t after = argument(target, "after=");
-	uint64_t ms = argument(target, "waitMs=");
+	uint64_t after = argument(target, w->speech->after);
+	uint64_t ms = argument(target, w->speech->wait);
 	GString *none;
 
 	w->store_calls++;
@@ -202,7 +189,8 @@
 		none = g_string_new("{\"error\":\"down\"}");
 		reply_json(c->bev, 503, none);
 		g_string_free(none, TRUE);
-	} else if (memcmp(target.s, "/kv-range", 9) == 0) {
+	} else if (memcmp(target.s, w->speech->list_path,
+			  strlen(w->speech->list_path)) == 0) {
 		reply_list(w, c->bev);
 	} else if (!reply_changes(w, c->bev, after, false)) {
 		start_watch(w, c->bev, after,
@@ -254,10 +242,20 @@
 	}
 }
 
-world_t *world_new(void)
+void world_put_config(world_t *w, const char *text)
+{
+	char *value = w->speech->config(text);
+
+	world_put(w, w->speech->config_key, value);
+	g_free(value);
+}
+
+world_t *world_new(const char *speech)
 {
 	world_t *w = g_new0(world_t, 1);
 
+	w->speech = world_speech(speech);
+	w->outside = outside_by_name(speech);
 	signal(SIGPIPE, SIG_IGN);
 	w->base = event_base_new();
 	w->dir = g_dir_make_tmp("geraniumslip-XXXXXX", NULL);
@@ -308,12 +306,12 @@
 	text = g_strdup_printf(
 		"{\"name\":\"%s\",\"data_centre\":\"%s\",\"listen\":\"%s\","
 		"\"ready\":\"%s\",\"admin\":\"%s\",\"peer\":\"%s\","
-		"\"seeds\":[%s],\"outside\":\"platform\",\"registry\":\"%s\","
+		"\"seeds\":[%s],\"outside\":\"%s\",\"registry\":\"%s\","
 		"\"log_level\":\"debug\",\"stop_grace_ms\":600,"
 		"\"stop_limit_ms\":3000,\"extra_share\":0.2,"
 		"\"extra_fixed\":1000,\"fleet\":3}",
 		d->name, dc, d->listen, d->ready, d->admin, d->peer, seeds->str,
-		w->store_addr);
+		w->speech->name, w->store_addr);
 	g_file_set_contents(d->settings, text, -1, NULL);
 	g_free(text);
 	g_string_free(seeds, TRUE);
@@ -452,7 +450,7 @@
 
 static void fill_answer(world_answer_t *a, const waiter_t *x)
 {
-	const outside_t *o = outside_by_name("platform");
+	const outside_t *o = x->w->outside;
 	char text[32];
 
 	a->closed = x->closed;
@@ -470,6 +468,26 @@
 			    (gssize)x->msg.body->len);
 }
 
+void world_write(world_t *w, struct bufferevent *bev, const char *bytes)
+{
+	static const outside_header_t names[] = { OUTSIDE_ID,
+						  OUTSIDE_TIME_LEFT };
+	const outside_t *from = outside_by_name("platform");
+	GString *text = g_string_new(bytes);
+	char *a, *b;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		a = g_strdup_printf("\n%s:", from->headers[names[i]]);
+		b = g_strdup_printf("\n%s:", w->outside->headers[names[i]]);
+		g_string_replace(text, a, b, 0);
+		g_free(a);
+		g_free(b);
+	}
+	evbuffer_add(bufferevent_get_output(bev), text->str, text->len);
+	g_string_free(text, TRUE);
+}
+
 void world_ask_on(world_t *w, struct bufferevent *bev, const char *bytes,
 		  unsigned ms, world_answer_t *a)
 {
@@ -479,7 +497,7 @@
 	*a = (world_answer_t){ .body = g_string_new(NULL) };
 	http_msg_init(&x.msg, HTTP_RESPONSE);
 	bufferevent_setcb(bev, on_answer, NULL, on_answer_event, &x);
-	evbuffer_add(bufferevent_get_output(bev), bytes, strlen(bytes));
+	world_write(w, bev, bytes);
 	/* What came before is read again by this answer. */
 	if (evbuffer_get_length(bufferevent_get_input(bev)))
 		on_answer(bev, &x);
--- a/standin/world.h
+++ b/standin/world.h
@@ -61,8 +61,28 @@
 	int unread;	/**< a pipe that takes its output and is not read; 0 */
 } world_daemon_t;
 
+/** A way of speaking of the stand-ins. */
+typedef struct world_speech {
+	const char *name; /**< of the daemon's row */
+	const char *config_key;
+	const char *list_path; /**< that a list is asked with */
+	const char *after;     /**< argument of a watch: a revision */
+	const char *wait;      /**< the same: milliseconds */
+	const char *list[2];   /**< before the items, and before the revision */
+	const char *changes[2];
+	/** Appends an item; NULL as value: it is deleted. */
+	void (*item)(GString *out, const char *key, const char *value,
+		     uint64_t revision);
+	/** A server's entry; the caller frees it. */
+	char *(*entry)(const world_server_t *s, const char *state);
+	/** A configuration of the platform's format, as this way has it. */
+	char *(*config)(const char *text);
+} world_speech_t;
+
 /** Everything of one test. */
 typedef struct world {
+	const world_speech_t *speech;
+	const outside_t *outside; /**< the daemon's row of that way */
 	struct event_base *base;
 	char *dir;
 	char store_addr[32];
@@ -92,8 +112,12 @@
 	usec_t took;
 } world_answer_t;
 
-/** Starts a store without anything in it. */
-world_t *world_new(void);
+/** Starts a store without anything in it, which speaks in that way. */
+world_t *world_new(const char *speech);
+/** The stand-ins' row of a way of speaking. */
+const world_speech_t *world_speech(const char *name);
+/** Publishes a configuration, given in the platform's format. */
+void world_put_config(world_t *w, const char *text);
 /** Ends daemons that still run and frees everything. */
 void world_free(world_t *w);
 /** Writes a key; NULL deletes it. */
@@ -119,6 +143,8 @@
 	       world_answer_t *a);
 /** Opens a connection that the test keeps. */
 struct bufferevent *world_connect(world_t *w, const char *addr);
+/** Sends on it; header lines are given in the platform's words. */
+void world_write(world_t *w, struct bufferevent *bev, const char *bytes);
 /** Sends on it and reads one answer. */
 void world_ask_on(world_t *w, struct bufferevent *bev, const char *bytes,
 		  unsigned ms, world_answer_t *a);
--- a/standin/world_server.c
+++ b/standin/world_server.c
@@ -101,6 +101,11 @@
 		g_string_append_printf(out, "%c%-15.15s", digits[i], s->id);
 }
 
+static const char *header(const world_server_t *s, outside_header_t h)
+{
+	return s->w->outside->headers[h];
+}
+
 static void append_answer(GString *out, const world_server_t *s, const char *id,
 			  unsigned status, bool length)
 {
@@ -108,9 +113,10 @@
 
 	append_body(body, s);
 	g_string_append_printf(out,
-			       "HTTP/1.1 %u X\r\nRequest-Id: %s\r\n"
-			       "Server-Stamp: %s.%s\r\n",
-			       status, id, s->id, id);
+			       "HTTP/1.1 %u X\r\n%s: %s\r\n"
+			       "%s: %s.%s\r\n",
+			       status, header(s, OUTSIDE_ID), id,
+			       header(s, OUTSIDE_STAMP), s->id, id);
 	if (length)
 		g_string_append_printf(out, "Content-Length: %zu\r\n",
 				       body->len);
@@ -165,16 +171,17 @@
 		break;
 	case FAULT_REFUSE:
 		g_string_append_printf(out,
-				       "HTTP/1.1 503 X\r\nRequest-Id: %s\r\n"
-				       "Not-Executed: 1\r\n"
+				       "HTTP/1.1 503 X\r\n%s: %s\r\n"
+				       "%s: 1\r\n"
 				       "Content-Length: 0\r\n\r\n",
-				       id);
+				       header(c->server, OUTSIDE_ID), id,
+				       header(c->server, OUTSIDE_NOT_RUN));
 		break;
 	case FAULT_OTHER:
 		g_string_append_printf(out,
-				       "HTTP/1.1 421 X\r\nRequest-Id: %s\r\n"
+				       "HTTP/1.1 421 X\r\n%s: %s\r\n"
 				       "Content-Length: 0\r\n\r\n",
-				       id);
+				       header(c->server, OUTSIDE_ID), id);
 		break;
 	case FAULT_ERROR:
 		append_answer(out, c->server, id, 500, true);
@@ -208,7 +215,7 @@
 
 static void answer(world_conn_t *c)
 {
-	str_t rid = http_msg_get(&c->msg, "Request-Id");
+	str_t rid = http_msg_get(&c->msg, header(c->server, OUTSIDE_ID));
 	fault_t f = next_fault(c->server);
 	GString *out = g_string_new(NULL);
 	char id[64];
@@ -277,13 +284,9 @@
 	}
 	if (state && strcmp(state, "draining") == 0)
 		s->left = true;
+	s->seq += state != NULL;
 	if (state)
-		value = g_strdup_printf(
-			"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":"
-			"\"%s\",\"version\":\"v1\",\"slots\":3,\"state\":"
-			"\"%s\",\"warmupLeftMs\":0,\"seq\":%u,\"born\":%u}",
-			s->service, s->addr, s->dc, state, ++s->seq,
-			5 + s->born);
+		value = s->w->speech->entry(s, state);
 	world_put(s->w, key, value);
 	g_free(value);
 	g_free(key);
--- /dev/null
+++ b/standin/world_speech.c
@@ -0,0 +1,129 @@
+/** @file world_speech.c How the stand-ins speak: a row for each way. */
+#include <string.h>
+
+#include "libworld.h"
+
+static void platform_item(GString *out, const char *key, const char *value,
+			  uint64_t revision);
+static char *platform_entry(const world_server_t *s, const char *state);
+static char *platform_config(const char *text);
+static void own_item(GString *out, const char *key, const char *value,
+		     uint64_t revision);
+static char *own_entry(const world_server_t *s, const char *state);
+static char *own_config(const char *text);
+
+static const world_speech_t speeches[] = {
+	{
+		.name = "platform",
+		.config_key = "op/config",
+		.list_path = "/kv-range",
+		.after = "after=",
+		.wait = "waitMs=",
+		.list = { "{\"items\":[", "],\"hasMore\":false,\"atRev\":" },
+		.changes = { "{\"events\":[", "],\"atRev\":" },
+		.item = platform_item,
+		.entry = platform_entry,
+		.config = platform_config,
+	},
+	{
+		.name = "own",
+		.config_key = "routes",
+		.list_path = "/v1/published?",
+		.after = "since=",
+		.wait = "wait_ms=",
+		.list = { "{\"items\":[", "],\"more\":false,\"revision\":" },
+		.changes = { "{\"items\":[", "],\"revision\":" },
+		.item = own_item,
+		.entry = own_entry,
+		.config = own_config,
+	},
+};
+
+const world_speech_t *world_speech(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(speeches); i++)
+		if (strcmp(speeches[i].name, name) == 0)
+			return &speeches[i];
+	return NULL;
+}
+
+static void platform_item(GString *out, const char *key, const char *value,
+			  uint64_t revision)
+{
+	char *text;
+
+	if (!value) {
+		g_string_append_printf(out,
+				       "{\"key\":\"%s\",\"revision\":%llu,"
+				       "\"tombstone\":true}",
+				       key, (unsigned long long)revision);
+		return;
+	}
+	text = g_base64_encode((const guchar *)value, strlen(value));
+	g_string_append_printf(out,
+			       "{\"key\":\"%s\",\"value\":\"%s\","
+			       "\"revision\":%llu,\"created\":1,\"lease\":0}",
+			       key, text, (unsigned long long)revision);
+	g_free(text);
+}
+
+static char *platform_entry(const world_server_t *s, const char *state)
+{
+	return g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":"
+		"\"%s\",\"version\":\"v1\",\"slots\":3,\"state\":"
+		"\"%s\",\"warmupLeftMs\":0,\"seq\":%u,\"born\":%u}",
+		s->service, s->addr, s->dc, state, s->seq, 5 + s->born);
+}
+
+static char *platform_config(const char *text)
+{
+	return g_strdup(text);
+}
+
+static void own_item(GString *out, const char *key, const char *value,
+		     uint64_t revision)
+{
+	char *text;
+
+	g_string_append_printf(out, "{\"key\":\"%s\",\"revision\":%llu,", key,
+			       (unsigned long long)revision);
+	if (!value) {
+		g_string_append(out, "\"deleted\":true}");
+		return;
+	}
+	/* What is no JSON travels as a text. */
+	text = value[0] == '{' ? g_strdup(value)
+			       : g_strdup_printf("\"%s\"", value);
+	g_string_append_printf(out, "\"value\":%s}", text);
+	g_free(text);
+}
+
+static char *own_entry(const world_server_t *s, const char *state)
+{
+	return g_strdup_printf(
+		"{\"service\":\"%s\",\"addr\":\"%s\",\"data_centre\":\"%s\","
+		"\"slots\":3,\"leaving\":%s,\"warm_ms\":0,\"incarnation\":%u,"
+		"\"report\":%u}",
+		s->service, s->addr, s->dc,
+		strcmp(state, "draining") == 0 ? "true" : "false", 5 + s->born,
+		s->seq);
+}
+
+/* The same routes in the project's own format. */
+static char *own_config(const char *text)
+{
+	char fault[OUTSIDE_FAULT_MAX], *own, *copy;
+	rt_conf_t *c =
+		outside_by_name("platform")->read_config(str_of(text), fault);
+
+	if (!c)
+		return g_strdup("not a configuration");
+	own = rt_conf_text(c);
+	rt_conf_unref(c);
+	copy = g_strdup(own);
+	free(own);
+	return copy;
+}
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -45,6 +45,9 @@
 	"GET " path " HTTP/1.1\r\nHost: h\r\nRequest-Id: " id                  \
 	"\r\nDeadline-Ms: 1000\r\n\r\n"
 
+/* The way of speaking of the suite that runs. */
+static const char *speech;
+
 /* One daemon, two servers of a, one of b. */
 typedef struct rig {
 	world_t *w;
@@ -57,13 +60,13 @@
 {
 	char *text = g_strdup_printf("{\"version\":%u,%s", version, rest);
 
-	world_put(w, "op/config", text);
+	world_put_config(w, text);
 	g_free(text);
 }
 
 static rig_t rig_new(void)
 {
-	rig_t r = { .w = world_new() };
+	rig_t r = { .w = world_new(speech) };
 
 	put_conf(r.w, CONF_HEAD CONF_ALL CONF_ONE CONF_ONCE CONF_TAIL, 3);
 	r.a[0] = world_server(r.w, "a", "x");
@@ -242,8 +245,7 @@
 	r.a[0]->work_ms = 500;
 	r.b->work_ms = 500;
 	bev = world_connect(r.w, r.d->listen);
-	evbuffer_add_printf(bufferevent_get_output(bev), "%s",
-			    GET("/all/x", "gone"));
+	world_write(r.w, bev, GET("/all/x", "gone"));
 	world_pass(r.w, 100);
 	bufferevent_free(bev);
 	world_pass(r.w, 150);
@@ -263,7 +265,7 @@
 	world_pass(r.w, 1500);
 	CU_ASSERT_EQUAL(status_of(&r, GET("/one/x", "v")), 404);
 	put_conf(r.w, CONF_HEAD CONF_ALL CONF_ONE CONF_TAIL, 8);
-	world_put(r.w, "op/config", "{\"version\":10,");
+	world_put_config(r.w, "{\"version\":10,");
 	world_put(r.w, "servers/i-junk", "not an entry");
 	world_pass(r.w, 1500);
 	CU_ASSERT_EQUAL(status_of(&r, GET("/one/x", "v")), 404);
@@ -316,7 +318,7 @@
 /* Without a configuration: not ready, and nothing is said to be missing. */
 static void test_no_configuration(void)
 {
-	rig_t r = { .w = world_new() };
+	rig_t r = { .w = world_new(speech) };
 
 	r.d = world_daemon(r.w, "x");
 	world_pass(r.w, 300);
@@ -335,8 +337,7 @@
 
 	r.a[0]->work_ms = 250;
 	r.a[1]->work_ms = 250;
-	evbuffer_add_printf(bufferevent_get_output(bev), "%s",
-			    GET("/once/x", "stop"));
+	world_write(r.w, bev, GET("/once/x", "stop"));
 	world_pass(r.w, 80);
 	kill(r.d->pid, SIGTERM);
 	CU_ASSERT(world_wait_ready(r.w, r.d, false, 500));
@@ -382,8 +383,7 @@
 		world_publish(r.a[0], "draining");
 		r.w->store_down = cases[i].store_away;
 		bev = world_connect(r.w, r.d->listen);
-		evbuffer_add_printf(bufferevent_get_output(bev), "%s",
-				    GET("/one/x", "frozen"));
+		world_write(r.w, bev, GET("/one/x", "frozen"));
 		world_pass(r.w, cases[i].sleep_ms);
 		kill(r.d->pid, SIGCONT);
 		world_ask_on(r.w, bev, "", ASK_MS, &a);
@@ -403,8 +403,7 @@
 	world_answer_t a;
 
 	r.a[0]->work_ms = 200;
-	evbuffer_add_printf(bufferevent_get_output(bev), "%s",
-			    GET("/once/x", "hup"));
+	world_write(r.w, bev, GET("/once/x", "hup"));
 	world_pass(r.w, 50);
 	kill(r.d->pid, SIGHUP);
 	g_file_set_contents(r.d->settings, "{\"name\":7}", -1, NULL);
@@ -441,7 +440,7 @@
 static void test_log_unread(void)
 {
 	enum { REQUESTS = 400 }; /* a pipe holds 64 kB, the queue 1 MB */
-	rig_t r = { .w = world_new() };
+	rig_t r = { .w = world_new(speech) };
 	struct bufferevent *bev;
 	world_answer_t a;
 	usec_t worst = 0;
@@ -483,8 +482,27 @@
 	world_free(r.w);
 }
 
+static int speak_platform(void)
+{
+	speech = "platform";
+	return 0;
+}
+
+static int speak_own(void)
+{
+	speech = "own";
+	return 0;
+}
+
 int main(void)
 {
+	static const struct {
+		const char *name;
+		CU_InitializeFunc start;
+	} suites[] = {
+		{ "routed path, the platform's words", speak_platform },
+		{ "routed path, own words", speak_own },
+	};
 	static const struct {
 		const char *name;
 		CU_TestFunc fn;
@@ -507,13 +525,15 @@
 	};
 	unsigned failures;
 	CU_pSuite s;
-	size_t i;
+	size_t i, j;
 
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	CU_initialize_registry();
-	s = CU_add_suite("routed path", NULL, NULL);
-	for (i = 0; i < sizeof(tests) / sizeof(tests[0]); i++)
-		CU_add_test(s, tests[i].name, tests[i].fn);
+	for (j = 0; j < sizeof(suites) / sizeof(suites[0]); j++) {
+		s = CU_add_suite(suites[j].name, suites[j].start, NULL);
+		for (i = 0; i < sizeof(tests) / sizeof(tests[0]); i++)
+			CU_add_test(s, tests[i].name, tests[i].fn);
+	}
 	CU_basic_set_mode(CU_BRM_VERBOSE);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -93,14 +93,14 @@
 		      "40},{\"name\":\"b\",\"maxConnections\":40}],"
 		      "\"limits\":{\"maxHeaderBytes\":4000,\"maxBodyBytes\":"
 		      "4000,\"headerTimeoutMs\":1000,\"idleTimeoutMs\":5000}}");
-	world_put(r->w, "op/config", text->str);
+	world_put_config(r->w, text->str);
 	g_string_free(text, TRUE);
 }
 
 /* Distinct parts, each of this request, and the right number of them. */
 static void check_merged(asker_t *k)
 {
-	const outside_t *o = outside_by_name("platform");
+	const outside_t *o = k->r->w->outside;
 	char stamps[256], missing[16], tail[32];
 	char **parts;
 	guint n, i;
@@ -135,7 +135,8 @@
 	if (status == 200 && strcmp(k->path, "all") == 0)
 		check_merged(k);
 	if (status == 200 && strcmp(k->path, "all") != 0 &&
-	    (!str_eq(http_msg_get(&k->msg, "Request-Id"), str_of(k->id)) ||
+	    (!str_eq(http_msg_get(&k->msg, r->w->outside->headers[OUTSIDE_ID]),
+		     str_of(k->id)) ||
 	     k->msg.body->len != 48))
 		broken(r, "not its own whole answer", k->id);
 	/* A process that was paused or ended meanwhile may be late. */
@@ -204,6 +205,7 @@
 {
 	static const char *const paths[] = { "all", "one", "once" };
 	run_t *r = k->r;
+	char bytes[256];
 
 	if (!k->bev) {
 		k->daemon = roll(r, DAEMONS);
@@ -215,10 +217,11 @@
 	snprintf(k->path, sizeof(k->path), "%s", paths[roll(r, 3)]);
 	snprintf(k->id, sizeof(k->id), "r%llu", (unsigned long long)++r->asked);
 	http_msg_reset(&k->msg, HTTP_RESPONSE);
-	evbuffer_add_printf(bufferevent_get_output(k->bev),
-			    "GET /%s/x HTTP/1.1\r\nHost: h\r\nRequest-Id: %s"
-			    "\r\nDeadline-Ms: 900\r\n\r\n",
-			    k->path, k->id);
+	snprintf(bytes, sizeof(bytes),
+		 "GET /%s/x HTTP/1.1\r\nHost: h\r\nRequest-Id: %s"
+		 "\r\nDeadline-Ms: 900\r\n\r\n",
+		 k->path, k->id);
+	world_write(r->w, k->bev, bytes);
 }
 
 /* One fault or change, by the dice. */
@@ -373,9 +376,9 @@
 			broken(r, "ran twice", id);
 }
 
-static unsigned soak(uint64_t seed, unsigned ms)
+static unsigned soak(uint64_t seed, unsigned ms, const char *speech)
 {
-	run_t r = { .w = world_new(), .rng = { seed }, .has_one = true };
+	run_t r = { .w = world_new(speech), .rng = { seed }, .has_one = true };
 	usec_t until;
 	unsigned i;
 
@@ -423,12 +426,15 @@
 int main(int argc, char **argv)
 {
 	gint first = 1, count = 1, ms = 5000;
+	gchar *speech = NULL;
 	const GOptionEntry entries[] = {
 		{ "seed", 's', 0, G_OPTION_ARG_INT, &first, "First seed", "N" },
 		{ "count", 'c', 0, G_OPTION_ARG_INT, &count, "Seeds to play",
 		  "N" },
 		{ "ms", 'm', 0, G_OPTION_ARG_INT, &ms,
 		  "Time with faults, of each seed", "MS" },
+		{ "speech", 0, 0, G_OPTION_ARG_STRING, &speech,
+		  "How stand-ins speak: platform or own", "NAME" },
 		G_OPTION_ENTRY_NULL
 	};
 	GOptionContext *ctx = g_option_context_new(NULL);
@@ -439,8 +445,14 @@
 	if (!g_option_context_parse(ctx, &argc, &argv, NULL))
 		return EXIT_FAILURE;
 	g_option_context_free(ctx);
+	if (!world_speech(speech ? speech : "platform")) {
+		fprintf(stderr, "soak: no such way of speaking: %s\n", speech);
+		return EXIT_FAILURE;
+	}
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	for (i = 0; i < count; i++)
-		faults += soak((uint64_t)first + (uint64_t)i, (unsigned)ms);
+		faults += soak((uint64_t)first + (uint64_t)i, (unsigned)ms,
+			       speech ? speech : "platform");
+	g_free(speech);
 	return faults ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/tests/unit_outside.c
+++ b/tests/unit_outside.c
@@ -154,6 +154,11 @@
 	evbuffer_free(in);
 }
 
+#define OWN_ENTRY(addr, slots, leaving, incarnation)                           \
+	"{\"service\":\"s\",\"addr\":" addr ",\"data_centre\":\"z\","          \
+	"\"slots\":" slots ",\"leaving\":" leaving ",\"warm_ms\":0,"           \
+	"\"incarnation\":" incarnation ",\"report\":4}"
+
 static void test_server_entries(void)
 {
 	static const struct {
@@ -204,6 +209,48 @@
 	arena_free(&mem);
 }
 
+/* The same of the project's own format. */
+static void test_own_entries(void)
+{
+	static const struct {
+		const char *text;
+		const char *bad; /* member that is wrong; NULL: none */
+	} cases[] = {
+		{ OWN_ENTRY("\"10.0.0.1:80\"", "3", "true", "17"), NULL },
+		{ OWN_ENTRY("\"nowhere\"", "3", "true", "17"), "addr" },
+		{ OWN_ENTRY("\"10.0.0.1:80\"", "0", "true", "17"), "slots" },
+		{ OWN_ENTRY("\"10.0.0.1:80\"", "3", "1", "17"), "leaving" },
+		{ OWN_ENTRY("\"10.0.0.1:80\"", "3", "true", "1.5"),
+		  "incarnation" },
+		{ "{\"service\":7}", "service" },
+		{ "[]", "entry" },
+		{ "\xff\xfe", "entry" },
+		{ "", "entry" },
+	};
+	const outside_t *own = outside_by_name("own");
+	char fault[OUTSIDE_FAULT_MAX];
+	arena_t mem = { 0 };
+	rt_entry_t e;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		fault[0] = '\0';
+		CU_ASSERT_EQUAL(own->read_server(STR("i-1"),
+						 str_of(cases[i].text), &e,
+						 &mem, fault),
+				cases[i].bad == NULL);
+		CU_ASSERT(cases[i].bad ? strstr(fault, cases[i].bad) != NULL
+				       : fault[0] == '\0');
+	}
+	own->read_server(STR("i-1"), str_of(cases[0].text), &e, &mem, fault);
+	CU_ASSERT_EQUAL(e.slots, 3);
+	CU_ASSERT_EQUAL(e.incarnation, 17);
+	CU_ASSERT_EQUAL(e.report, 4);
+	CU_ASSERT(e.draining);
+	CU_ASSERT(str_eq(e.dc, STR("z")));
+	arena_free(&mem);
+}
+
 #define LIMITS                                                                 \
 	"\"limits\":{\"maxHeaderBytes\":100,\"maxBodyBytes\":200,"             \
 	"\"headerTimeoutMs\":300,\"idleTimeoutMs\":400}"
@@ -455,10 +502,11 @@
 	size_t i, n;
 
 	for (i = 0; i < HOSTS; i++) {
-		fleet_params_t p = {
-			.seeds = seeds, .nseeds = 2, .hosts = 100,
-			.seed = i + 1, .apply_time = APPLY_TIME
-		};
+		fleet_params_t p = { .seeds = seeds,
+				     .nseeds = 2,
+				     .hosts = 100,
+				     .seed = i + 1,
+				     .apply_time = APPLY_TIME };
 
 		snprintf(addr, sizeof(addr), "10.0.0.%zu:1", i);
 		p.addr = str_of(addr);
@@ -487,7 +535,7 @@
 		n = readers(f, up, now);
 		/* Others took over before changes are due, and a call. */
 		CU_ASSERT(n >= 2 || now < until - 15 * USEC_PER_SEC +
-						  APPLY_TIME * 6 / 10);
+						    APPLY_TIME * 6 / 10);
 	}
 	CU_ASSERT_EQUAL(n, 2);
 	/* Cut off: it reckons with the others' shares for a minute. */
@@ -557,6 +605,7 @@
 		{ "answers that end with the connection", test_http_eof },
 		{ "header lines of one connection", test_hops },
 		{ "entries of servers", test_server_entries },
+		{ "entries of servers, own format", test_own_entries },
 		{ "configurations", test_configs },
 		{ "lists and changes", test_items },
 		{ "state only goes forward", test_state },
