Status, upstreams and explain of daemons of routed requests

Cause: operators could see what a daemon of searches believes, but of one of routed requests only metrics. Change: /v1/status and /v1/upstreams at its admin address, with names as those of searches where they mean the same; tables leave out columns that no row has. The gauge of the configuration's version had six digits only, so that large versions were rounded; it has all now. Process test with seven views.

--- a/ctl/ctl_daemon.c
+++ b/ctl/ctl_daemon.c
@@ -18,12 +18,10 @@
 ctl_exit_t command_status(ctl_t *c)
 {
 	static const char *const columns[] = {
-		"daemon",	"ready",
-		"stopping",	"revision",
-		"hash",		"list_version",
-		"list_age_s",	"platform_read",
-		"daemons",	"daemons_suspected",
-		"open_queries", NULL
+		"daemon", "ready",	  "stopping",	       "revision",
+		"hash",	  "list_version", "list_age_s",	       "platform_read",
+		"reads",  "daemons",	  "daemons_suspected", "open_queries",
+		NULL
 	};
 	json_t *rows = json_array();
 	ctl_exit_t status = CTL_OK;
@@ -81,13 +79,23 @@
 
 ctl_exit_t command_upstreams(ctl_t *c)
 {
-	static const char *const columns[] = {
-		"daemon",     "service",	"group",
-		"addr",	      "data_centre",	"leaving",
-		"inflight",   "connections",	"limit",
-		"latency_us", "evidence_age_s", "newest_snapshot",
-		NULL
-	};
+	static const char *const columns[] = { "daemon",
+					       "service",
+					       "group",
+					       "addr",
+					       "data_centre",
+					       "leaving",
+					       "inflight",
+					       "connections",
+					       "limit",
+					       "latency_us",
+					       "evidence_age_s",
+					       "newest_snapshot",
+					       "id",
+					       "state",
+					       "pace",
+					       "failing",
+					       NULL };
 
 	return upstreams(c, NULL, columns);
 }
@@ -99,7 +107,8 @@
 					       "expected_us", "newest_snapshot",
 					       "inflight",    "limit",
 					       "connections", "evidence_age_s",
-					       NULL };
+					       "id",	      "pace",
+					       "failing",     NULL };
 
 	return upstreams(c, c->args[0], columns);
 }
--- a/ctl/ctl_table.c
+++ b/ctl/ctl_table.c
@@ -5,7 +5,7 @@
 
 #include "libctl.h"
 
-#define MAX_COLUMNS 16
+#define MAX_COLUMNS 20
 
 static char *cell_of(json_t *v)
 {
@@ -42,12 +42,38 @@
 	}
 }
 
-static void print_table(json_t *rows, const char *const *columns)
+static bool is_known(json_t *rows, const char *column)
 {
+	size_t i;
+	json_t *row;
+
+	json_array_foreach(rows, i, row)
+		if (json_object_get(row, column))
+			return true;
+	return json_array_size(rows) == 0;
+}
+
+/* Columns that no row knows are left out: daemons of searches and of routes
+ * tell of different things. */
+static void known_columns(json_t *rows, const char *const *columns,
+			  const char **known)
+{
+	size_t n = 0, i;
+
+	for (i = 0; columns[i] && n < MAX_COLUMNS; i++)
+		if (is_known(rows, columns[i]))
+			known[n++] = columns[i];
+	known[n] = NULL;
+}
+
+static void print_table(json_t *rows, const char *const *all)
+{
+	const char *columns[MAX_COLUMNS + 1];
 	size_t widths[MAX_COLUMNS] = { 0 };
 	size_t i, j;
 	json_t *row;
 
+	known_columns(rows, all, columns);
 	note_widths(rows, columns, widths);
 	for (j = 0; columns[j]; j++)
 		printf("%-*s ", (int)widths[j], columns[j]);
--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -182,7 +182,7 @@
 	return fd;
 }
 
-static bool is_ready(const edge_t *e)
+bool edge_is_ready(const edge_t *e)
 {
 	return !e->stopping && rt_conf(e->rt) &&
 	       fleet_state_revision(e->state) > 0;
@@ -192,7 +192,7 @@
 {
 	edge_t *e = arg;
 
-	if (is_ready(e))
+	if (edge_is_ready(e))
 		evhttp_send_reply(req, 200, "OK", NULL);
 	else
 		evhttp_send_reply(req, 503, "Service Unavailable", NULL);
@@ -401,6 +401,10 @@
 	watch_signals(r);
 	r->ready = serve(e, s->ready, e->outside->ready_path, on_ready);
 	r->metrics = serve(e, s->admin, "/metrics", edge_metrics);
+	if (r->metrics) {
+		evhttp_set_cb(r->metrics, "/v1/status", edge_status, e);
+		evhttp_set_cb(r->metrics, "/v1/upstreams", edge_upstreams, e);
+	}
 	if (!r->ready || !r->metrics || !callers_start(e, s->listen))
 		return DAEMON_E_LISTEN;
 	if (!fleet_peers_start(e))
--- /dev/null
+++ b/daemon/edge_admin.c
@@ -0,0 +1,71 @@
+/** @file edge_admin.c What a daemon of routed requests tells operators. */
+#include <event2/http.h>
+#include <jansson.h>
+#include <stdlib.h>
+
+#include "libedge.h"
+
+static double seconds(usec_t t)
+{
+	return t < 0 ? -1.0 : (double)t / (double)USEC_PER_SEC;
+}
+
+/* Answers with the JSON value and frees it. */
+static void reply(struct evhttp_request *req, json_t *o)
+{
+	struct evbuffer *out = evbuffer_new();
+	char *text = json_dumps(o, JSON_INDENT(1));
+
+	evhttp_add_header(evhttp_request_get_output_headers(req),
+			  "Content-Type", "application/json");
+	evbuffer_add_printf(out, "%s\n", text);
+	evhttp_send_reply(req, 200, "OK", out);
+	evbuffer_free(out);
+	free(text);
+	json_decref(o);
+}
+
+void edge_status(struct evhttp_request *req, void *arg)
+{
+	edge_t *e = arg;
+	const rt_conf_t *c = rt_conf(e->rt);
+	usec_t now = clock_now();
+
+	reply(req, json_pack("{ss sb sb sI sI sf sb sI sI sI sI}", "name",
+			     e->settings->name, "ready", edge_is_ready(e),
+			     "stopping", e->stopping, "revision",
+			     (json_int_t)(c ? c->version : 0), "list_version",
+			     (json_int_t)fleet_state_revision(e->state),
+			     "list_age_s", seconds(fleet_age(e->fleet, now)),
+			     "reads", fleet_should_read(e->fleet, now),
+			     "daemons", (json_int_t)fleet_alive(e->fleet, now),
+			     "reckoned", (json_int_t)fleet_hosts(e->fleet, now),
+			     "open_queries", (json_int_t)rt_open(e->rt),
+			     "log_lines_dropped", (json_int_t)log_dropped()));
+}
+
+static json_t *server_json(const rt_server_report_t *r)
+{
+	return json_pack("{ss% ss% ss% ss% ss sb sI sI sf sf sf sI}", "id",
+			 r->id.s, r->id.sz, "service", r->service.s,
+			 r->service.sz, "addr", r->addr.s, r->addr.sz,
+			 "data_centre", r->dc.s, r->dc.sz, "state", r->state,
+			 "leaving", r->leaving, "inflight",
+			 (json_int_t)r->inflight, "connections",
+			 (json_int_t)r->connections, "pace", r->pace, "failing",
+			 r->failing, "evidence_age_s", seconds(r->age), "order",
+			 (json_int_t)r->order);
+}
+
+void edge_upstreams(struct evhttp_request *req, void *arg)
+{
+	json_t *a = json_array();
+	usec_t now = clock_now();
+	rt_server_report_t r;
+	edge_t *e = arg;
+	size_t i;
+
+	for (i = 0; rt_report_server(e->rt, i, now, &r); i++)
+		json_array_append_new(a, server_json(&r));
+	reply(req, a);
+}
--- a/daemon/edge_metrics.c
+++ b/daemon/edge_metrics.c
@@ -53,7 +53,7 @@
 {
 	evbuffer_add_printf(out,
 			    "# TYPE geraniumslip_%s gauge\n"
-			    "geraniumslip_%s %g\n",
+			    "geraniumslip_%s %.15g\n",
 			    name, name, v);
 }
 
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -152,8 +152,14 @@
 /** Writes a line of the decisions, if there is room for it this second. */
 void edge_log(edge_t *e, const rt_line_t *l, usec_t now);
 
-/* edge_metrics.c */
+/* edge_admin.c */
 struct evhttp_request;
+/** Answers with the daemon's state as JSON; arg is the edge_t. */
+void edge_status(struct evhttp_request *req, void *arg);
+/** The same with what is believed of servers. */
+void edge_upstreams(struct evhttp_request *req, void *arg);
+
+/* edge_metrics.c */
 /** Answers a request for metrics; arg is the edge_t. */
 void edge_metrics(struct evhttp_request *req, void *arg);
 
@@ -183,6 +189,8 @@
  * more is sent. To be called before what came meanwhile is handled.
  */
 void edge_notice_sleep(edge_t *e);
+/** Whether new connections are welcome. */
+bool edge_is_ready(const edge_t *e);
 /** Does what the decisions ask for and sets the next tick. */
 void edge_step(edge_t *e);
 /** Runs until a planned stop is over; takes over the settings. */
--- a/route/libroute.h
+++ b/route/libroute.h
@@ -233,6 +233,11 @@
 void rt_server_ended(rt_t *rt, rt_attempt_t *a, rt_result_t r, usec_t now);
 /* Forgets a send that was broken off: that says nothing of the server. */
 void rt_server_dropped(rt_t *rt, rt_attempt_t *a);
+/* Time that it costs to ask it, over the usual time: a send that it refuses
+ * or fails has to be made up for by another one. */
+double rt_server_cost(const rt_server_t *s);
+/* Whether it gets copies of requests only. */
+bool rt_server_is_slow(const rt_server_t *s);
 /* Whether it refused and failed nearly nothing lately. */
 bool rt_server_is_sound(const rt_server_t *s);
 /* Whether it may be given work at all. */
--- a/route/route.h
+++ b/route/route.h
@@ -257,6 +257,26 @@
 /** Takes the next action; false when there is none. */
 bool rt_next_act(rt_t *rt, rt_act_t *act);
 
+/** What is believed of a server; strings are borrowed. */
+typedef struct rt_server_report {
+	str_t id;
+	str_t service;
+	str_t addr;
+	str_t dc;
+	const char *state; /**< well, late, slow, avoided, lapsed, leaving */
+	bool leaving;
+	unsigned inflight;
+	unsigned connections; /**< that this host may have to it */
+	double pace;	      /**< its time over the usual time */
+	double failing;	      /**< share of sends that fail, 0 to 1 */
+	usec_t age;	      /**< of the last evidence; below 0: none */
+	unsigned order;	      /**< among its service by cost, from 1 */
+} rt_server_report_t;
+
+/** Reports the i-th server; false past the end. */
+bool rt_report_server(const rt_t *rt, size_t i, usec_t now,
+		      rt_server_report_t *r);
+
 /** Counters. */
 typedef enum rt_counter {
 	RT_CNT_REQUESTS,
--- /dev/null
+++ b/route/rt_report.c
@@ -0,0 +1,57 @@
+/** @file rt_report.c What the state looks like to an operator. */
+#include "libroute.h"
+
+static const char *state_of(const rt_server_t *s, usec_t now)
+{
+	if (s->draining || s->gone)
+		return "leaving";
+	if (s->lapsed_at)
+		return "lapsed";
+	if (now < s->avoid_until || s->fail_streak > 1)
+		return "avoided";
+	if (rt_server_is_slow(s))
+		return "slow";
+	return s->nlate ? "late" : "well";
+}
+
+static unsigned order_of(const rt_server_t *s)
+{
+	unsigned order = 1;
+	size_t i;
+
+	for (i = 0; i < s->svc->n; i++)
+		order += rt_server_usable(s->svc->v[i]) &&
+			 rt_server_cost(s->svc->v[i]) < rt_server_cost(s);
+	return order;
+}
+
+bool rt_report_server(const rt_t *rt, size_t i, usec_t now,
+		      rt_server_report_t *r)
+{
+	const rt_server_t *s = NULL;
+	uint32_t at;
+
+	for (at = 0; at < rt->server_nums.n && !s; at++) {
+		const rt_server_t *v = idmap_at(&rt->server_nums, at);
+
+		if (v && i-- == 0)
+			s = v;
+	}
+	if (!s)
+		return false;
+	*r = (rt_server_report_t){
+		.id = s->id,
+		.service = s->svc->name,
+		.addr = s->addr,
+		.dc = s->dc,
+		.state = state_of(s, now),
+		.leaving = s->draining || s->gone,
+		.inflight = s->inflight,
+		.connections = rt_server_cap(rt, s),
+		.pace = s->pace,
+		.failing = s->failing,
+		.age = s->sampled_at ? now - s->sampled_at : -1,
+		.order = order_of(s),
+	};
+	return true;
+}
--- a/route/rt_server.c
+++ b/route/rt_server.c
@@ -102,16 +102,14 @@
 	return s->near ? PACE_NEAR : PACE_FAR;
 }
 
-/* Time that it costs to ask it, over the usual time: a send that it refuses
- * or fails has to be made up for by another one. */
-static double cost(const rt_server_t *s)
+double rt_server_cost(const rt_server_t *s)
 {
 	return s->pace * (1 + FAIL_COST * s->failing);
 }
 
-static bool is_slow(const rt_server_t *s)
+bool rt_server_is_slow(const rt_server_t *s)
 {
-	return cost(s) > PACE_SLOW;
+	return rt_server_cost(s) > PACE_SLOW;
 }
 
 bool rt_server_is_sound(const rt_server_t *s)
@@ -126,19 +124,20 @@
 
 	for (i = 0; i < svc->n; i++)
 		if (rt_server_usable(svc->v[i]) &&
-		    (best == 0 || cost(svc->v[i]) < best))
-			best = cost(svc->v[i]);
+		    (best == 0 || rt_server_cost(svc->v[i]) < best))
+			best = rt_server_cost(svc->v[i]);
 	return best;
 }
 
 double rt_server_pace(const rt_server_t *s, double best, usec_t now)
 {
-	double base = best * rt_server_first_pace(s), off = cost(s) - base;
+	double base = best * rt_server_first_pace(s),
+	       off = rt_server_cost(s) - base;
 	usec_t age = now - s->sampled_at;
 
 	/* What is known to be slow stays so until a probe tells otherwise. */
-	if (is_slow(s) || off <= 0)
-		return cost(s);
+	if (rt_server_is_slow(s) || off <= 0)
+		return rt_server_cost(s);
 	for (; age >= PACE_HALF_LIFE && off > PACE_NONE; age -= PACE_HALF_LIFE)
 		off /= 2;
 	return base + off;
@@ -150,7 +149,7 @@
 {
 	rt_act_t *a;
 
-	if (was_slow == is_slow(s))
+	if (was_slow == rt_server_is_slow(s))
 		return;
 	rt_server_log(rt, s, was_slow ? RT_WHY_WELL : RT_WHY_SLOW, took);
 	a = rt_act_add(rt, RT_ACT_TELL);
@@ -165,7 +164,7 @@
 	usec_t took = now - a->sent_at;
 	double ratio = (double)took / (double)rt_stat_usual(a->stat);
 	double weight = PACE_WEIGHT, pace = s->pace;
-	bool was_slow = is_slow(s);
+	bool was_slow = rt_server_is_slow(s);
 
 	if (ratio > PACE_MAX)
 		ratio = PACE_MAX;
@@ -192,7 +191,7 @@
 	if (!s || !(pace > 0) || pace > PACE_MAX || !(failing >= 0) ||
 	    failing > 1)
 		return;
-	if (!is_slow(s) && now - s->sampled_at < OWN_WORD)
+	if (!rt_server_is_slow(s) && now - s->sampled_at < OWN_WORD)
 		return;
 	s->pace = pace;
 	s->failing = failing;
@@ -202,7 +201,7 @@
 /* It refused a request: it is full, or says so. */
 static void note_refusal(rt_t *rt, rt_server_t *s, usec_t now)
 {
-	bool was_slow = is_slow(s);
+	bool was_slow = rt_server_is_slow(s);
 
 	s->sampled_at = now;
 	s->failing += FAIL_WEIGHT * (1 - s->failing);
@@ -211,7 +210,7 @@
 
 static void note_failure(rt_t *rt, rt_server_t *s, rt_result_t r, usec_t now)
 {
-	bool was_slow = is_slow(s);
+	bool was_slow = rt_server_is_slow(s);
 	usec_t wait = AVOID_MIN;
 	unsigned i;
 
@@ -278,7 +277,8 @@
 		return false;
 	if (fails)
 		return now >= s->avoid_until;
-	return cost(s) > PACE_SLOW * best && now - s->sampled_at >= period / 2;
+	return rt_server_cost(s) > PACE_SLOW * best &&
+	       now - s->sampled_at >= period / 2;
 }
 
 /* No answer for so long says as much as a slow one. */
@@ -291,7 +291,7 @@
 	    out < SILENT_FACTOR * rt_stat_usual(a->stat))
 		return;
 	a->silent = true;
-	was_slow = is_slow(a->server);
+	was_slow = rt_server_is_slow(a->server);
 	a->server->sampled_at = now;
 	a->server->pace = PACE_MAX;
 	tell_crossing(rt, a->server, was_slow, out);
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -3,6 +3,7 @@
  * Tests of the routed path with a daemon as a process, against stand-ins.
  */
 #include <CUnit/Basic.h>
+#include <glib/gstdio.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -482,6 +483,57 @@
 	world_free(r.w);
 }
 
+/* Runs the operators' command against the daemon; its output is freed by the
+ * caller. The loop goes on meanwhile. */
+static char *command(rig_t *r, const char *what, const char *arg)
+{
+	const char *dir = g_getenv("GERANIUMSLIP_BIN");
+	char *line = g_strdup_printf(
+		"%s/geraniumslip -d %s %s %s > %s/out 2>&1",
+		dir ? dir : "build", r->d->admin, what, arg, r->w->dir);
+	char *file = g_strdup_printf("%s/out", r->w->dir);
+	char *out = NULL;
+
+	/* NOLINTNEXTLINE(cert-env33-c): the words are the test's own */
+	CU_ASSERT_EQUAL(system(line), 0);
+	g_file_get_contents(file, &out, NULL, NULL);
+	g_unlink(file);
+	g_free(file);
+	g_free(line);
+	return out ? out : g_strdup("");
+}
+
+/* What operators are shown of a running daemon. */
+static void test_operators(void)
+{
+	static const struct {
+		const char *what;
+		const char *arg;
+		const char *says;
+	} cases[] = {
+		{ "status", "", "yes" },
+		{ "-j status", "", "\"revision\": 3" },
+		{ "-j status", "", "\"open_queries\": 0" },
+		{ "upstreams", "", "i-b-2" },
+		{ "explain", "a", "i-a-0" },
+		{ "-j explain", "a", "\"state\": \"well\"" },
+		{ "-j explain", "a", "\"state\": \"leaving\"" },
+	};
+	rig_t r = rig_new();
+	char *out;
+	size_t i;
+
+	CU_ASSERT_EQUAL(status_of(&r, GET("/all/x", "o")), 200);
+	world_publish(r.a[1], "draining");
+	world_pass(r.w, 1500);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		out = command(&r, cases[i].what, cases[i].arg);
+		CU_ASSERT_PTR_NOT_NULL(strstr(out, cases[i].says));
+		g_free(out);
+	}
+	world_free(r.w);
+}
+
 static int speak_platform(void)
 {
 	speech = "platform";
@@ -522,6 +574,7 @@
 		{ "refused at once", test_refused },
 		{ "the log is not read", test_log_unread },
 		{ "metrics", test_metrics },
+		{ "operators", test_operators },
 	};
 	unsigned failures;
 	CU_pSuite s;
