Soak: proxies before store and servers, more daemons, late work at leaving servers

Cause: the soak harmed processes and servers, not the connections between them; it ran three daemons only, and did not look for work that reaches a server long after it drained.

--- a/standin/libworld.h
+++ b/standin/libworld.h
@@ -29,6 +29,8 @@
 /** Listens on a free port of loopback. */
 struct evconnlistener *world_listen(world_t *w, evconnlistener_cb fn, void *arg,
 				    char addr[32]);
+/** Stops a proxy and frees it. */
+void world_proxy_free(world_proxy_t *x);
 /** Stops a server and frees it. */
 void world_server_free(world_server_t *s);
 
--- a/standin/world.c
+++ b/standin/world.c
@@ -263,6 +263,8 @@
 	w->changes = g_ptr_array_new_with_free_func(item_free);
 	w->waiting = g_ptr_array_new();
 	w->servers = g_ptr_array_new();
+	w->proxies = g_ptr_array_new();
+	w->calm_at = standin_now();
 	w->daemons = g_ptr_array_new();
 	w->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->once = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -296,9 +298,14 @@
 static void write_settings(world_t *w, world_daemon_t *d, const char *dc)
 {
 	GString *seeds = g_string_new("");
+	char store[32];
 	char *text;
 	guint i;
 
+	g_strlcpy(store, w->store_addr, sizeof(store));
+	if (w->use_proxies)
+		world_proxy(w, w->store_addr, store);
+
 	for (i = 0; i < w->daemons->len; i++)
 		g_string_append_printf(
 			seeds, "%s\"%s\"", i ? "," : "",
@@ -311,7 +318,7 @@
 		"\"stop_limit_ms\":3000,\"extra_share\":0.2,"
 		"\"extra_fixed\":1000,\"fleet\":3}",
 		d->name, dc, d->listen, d->ready, d->admin, d->peer, seeds->str,
-		w->speech->name, w->store_addr);
+		w->speech->name, store);
 	g_file_set_contents(d->settings, text, -1, NULL);
 	g_free(text);
 	g_string_free(seeds, TRUE);
@@ -561,6 +568,9 @@
 		daemon_free(w->daemons->pdata[i], w->keep_logs);
 	/* Lets connections of ended daemons close. */
 	world_pass(w, 50);
+	for (i = 0; i < w->proxies->len; i++)
+		world_proxy_free(w->proxies->pdata[i]);
+	g_ptr_array_free(w->proxies, TRUE);
 	for (i = 0; i < w->servers->len; i++)
 		world_server_free(w->servers->pdata[i]);
 	evconnlistener_free(w->store_listener);
--- a/standin/world.h
+++ b/standin/world.h
@@ -30,6 +30,19 @@
 	FAULT_MAX,
 } fault_t;
 
+/** What a proxy does with its connections. */
+typedef enum world_proxy_mode {
+	WORLD_PROXY_PASS,
+	WORLD_PROXY_DELAY,
+	WORLD_PROXY_SILENT,  /**< nothing passes, nothing is closed */
+	WORLD_PROXY_ONE_WAY, /**< the same for what comes back */
+	WORLD_PROXY_RESET,   /**< resets those that are open, then passes */
+	WORLD_PROXY_MODES,
+} world_proxy_mode_t;
+
+/** A proxy between a daemon and the store or a server. */
+typedef struct world_proxy world_proxy_t;
+
 /** A server of a service. */
 typedef struct world_server {
 	struct world *w;
@@ -44,6 +57,8 @@
 	unsigned born; /**< rises with each start */
 	unsigned seq;  /**< rises with each word of one start */
 	bool left;     /**< it said that it drains */
+	usec_t left_at;
+	unsigned late_runs; /**< requests that came long after that */
 	unsigned runs;
 	unsigned broken; /**< connections that callers closed during work */
 } world_server_t;
@@ -94,6 +109,9 @@
 	bool store_down;
 	unsigned store_calls;
 	GPtrArray *servers; /**< world_server_t */
+	GPtrArray *proxies; /**< world_proxy_t */
+	bool use_proxies;   /**< in front of servers and the store */
+	usec_t calm_at;	    /**< the store was reached by all since then */
 	GHashTable *runs;   /**< id of a request to how often it ran */
 	GHashTable *once;   /**< ids of those that ran on a path /once/ */
 	bool keep_logs;
@@ -122,6 +140,10 @@
 void world_free(world_t *w);
 /** Writes a key; NULL deletes it. */
 void world_put(world_t *w, const char *key, const char *value);
+/** Puts a proxy in front of an address; its own is written to addr. */
+world_proxy_t *world_proxy(world_t *w, const char *to, char addr[32]);
+/** Changes what it does from now on. */
+void world_proxy_set(world_proxy_t *x, world_proxy_mode_t mode);
 /** Starts a server and publishes it. */
 world_server_t *world_server(world_t *w, const char *service, const char *dc);
 /** Publishes a server again with a state, or deletes its entry with NULL. */
--- a/standin/world_server.c
+++ b/standin/world_server.c
@@ -5,9 +5,12 @@
 #include <sys/socket.h>
 
 #include "libworld.h"
+#include "standin.h"
 
 #define LATE_MS 60 /* of a second answer */
-#define RECORDS 3  /* of 16 bytes in each part */
+/* The settings' limit for what is published, and slack for the machine. */
+#define DRAIN_MS (3000 + 500)
+#define RECORDS 3 /* of 16 bytes in each part */
 
 static void on_read(struct bufferevent *bev, void *arg)
 {
@@ -78,6 +81,16 @@
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 }
 
+/* Whether a daemon that reaches the store must have known that it drains. */
+static bool came_late(const world_server_t *s)
+{
+	usec_t since = s->left_at;
+
+	if (s->w->calm_at > since)
+		since = s->w->calm_at;
+	return s->left && standin_now() - since > DRAIN_MS * USEC_PER_MSEC;
+}
+
 static void count_run(world_conn_t *c, const char *id)
 {
 	GHashTable *runs = c->w->runs;
@@ -86,6 +99,7 @@
 	str_t target = http_msg_start(&c->msg);
 
 	c->server->runs++;
+	c->server->late_runs += came_late(c->server);
 	if (target.sz > 6 && memcmp(target.s, "/once/", 6) == 0)
 		g_hash_table_add(c->w->once, g_strdup(id));
 	g_hash_table_replace(runs, g_strdup(id), GUINT_TO_POINTER(n + 1));
@@ -282,8 +296,10 @@
 		s->seq = 0;
 		s->left = false;
 	}
-	if (state && strcmp(state, "draining") == 0)
+	if (state && strcmp(state, "draining") == 0) {
+		s->left_at = s->left ? s->left_at : standin_now();
 		s->left = true;
+	}
 	s->seq += state != NULL;
 	if (state)
 		value = s->w->speech->entry(s, state);
@@ -301,6 +317,12 @@
 	g_snprintf(s->service, sizeof(s->service), "%s", service);
 	g_snprintf(s->dc, sizeof(s->dc), "%s", dc);
 	s->listener = world_listen(w, on_accept, s, s->addr);
+	if (w->use_proxies) {
+		char own[32];
+
+		g_strlcpy(own, s->addr, sizeof(own));
+		world_proxy(w, own, s->addr);
+	}
 	g_ptr_array_add(w->servers, s);
 	world_publish(s, "ready");
 	return s;
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -15,8 +15,9 @@
 #include "standin.h"
 #include "world.h"
 
-#define DAEMONS 3
-#define CALLERS 12
+#define MAX_DAEMONS 100
+#define MAX_CALLERS 800
+#define CALLERS_PER_DAEMON 4
 #define STEP_MS 40     /* between two faults */
 #define QUIET_MS 4000  /* at the end, for all to be well again */
 #define ANSWER_MS 1300 /* the routes' deadline, and slack for the machine */
@@ -39,12 +40,13 @@
 
 struct run {
 	world_t *w;
+	unsigned ndaemons;
 	rng_t rng;
-	world_daemon_t *d[DAEMONS];
-	unsigned epoch[DAEMONS]; /* rises with each fault of the daemon */
-	usec_t resume[DAEMONS];	 /* a paused one goes on then; 0: runs */
-	bool stopping[DAEMONS];
-	asker_t askers[CALLERS];
+	world_daemon_t *d[MAX_DAEMONS];
+	unsigned epoch[MAX_DAEMONS]; /* rises with each fault of the daemon */
+	usec_t resume[MAX_DAEMONS];  /* a paused one goes on then; 0: runs */
+	bool stopping[MAX_DAEMONS];
+	asker_t askers[MAX_CALLERS];
 	GHashTable *refused; /* ids that were told not to have run */
 	unsigned version;
 	bool has_one;
@@ -208,7 +210,7 @@
 	char bytes[256];
 
 	if (!k->bev) {
-		k->daemon = roll(r, DAEMONS);
+		k->daemon = roll(r, r->ndaemons);
 		k->bev = world_connect(r->w, r->d[k->daemon]->listen);
 		bufferevent_setcb(k->bev, on_read, NULL, on_event, k);
 	}
@@ -251,10 +253,13 @@
 
 static void daemon_event(run_t *r)
 {
-	unsigned i = roll(r, DAEMONS);
+	unsigned i = roll(r, r->ndaemons), j;
 
-	/* One at a time is paused or ends, so that some serve. */
-	if (r->resume[0] || r->resume[1] || r->resume[2] || r->stopping[i])
+	/* One at a time is paused, so that some serve. */
+	for (j = 0; j < r->ndaemons; j++)
+		if (r->resume[j])
+			return;
+	if (r->stopping[i])
 		return;
 	switch (roll(r, 4)) {
 	case 0:
@@ -282,7 +287,7 @@
 	int status;
 	unsigned i;
 
-	for (i = 0; i < DAEMONS; i++) {
+	for (i = 0; i < r->ndaemons; i++) {
 		if (r->resume[i] && standin_now() >= r->resume[i]) {
 			kill(r->d[i]->pid, SIGCONT);
 			r->epoch[i]++;
@@ -303,9 +308,22 @@
 	}
 }
 
+/* Connections to the store or a server are harmed, or are well again. */
+static void proxy_event(run_t *r)
+{
+	GPtrArray *all = r->w->proxies;
+
+	world_proxy_set(
+		all->pdata[roll(r, all->len)],
+		roll(r, 2) ? WORLD_PROXY_PASS
+			   : (world_proxy_mode_t)roll(r, WORLD_PROXY_MODES));
+	/* Who does not reach the store cannot know what it publishes. */
+	r->w->calm_at = standin_now();
+}
+
 static void event(run_t *r)
 {
-	unsigned n = roll(r, 20);
+	unsigned n = roll(r, r->w->use_proxies ? 26 : 20);
 
 	if (n < 12) {
 		server_event(r);
@@ -314,9 +332,14 @@
 	} else if (n < 18) {
 		r->has_one = !r->has_one;
 		put_conf(r);
-	} else {
+	} else if (n < 20) {
 		r->w->store_down = roll(r, 2);
+		r->w->calm_at = standin_now();
+	} else {
+		proxy_event(r);
 	}
+	if (r->w->store_down)
+		r->w->calm_at = standin_now();
 	look_after(r);
 }
 
@@ -331,6 +354,8 @@
 	char want[64];
 
 	r->w->store_down = false;
+	for (j = 0; j < r->w->proxies->len; j++)
+		world_proxy_set(r->w->proxies->pdata[j], WORLD_PROXY_PASS);
 	r->has_one = true;
 	put_conf(r);
 	for (j = 0; j < r->w->servers->len; j++) {
@@ -348,7 +373,7 @@
 	world_pass(r->w, ANSWER_MS);
 	snprintf(want, sizeof(want), "geraniumslip_configuration_version %u\n",
 		 r->version);
-	for (i = 0; i < DAEMONS; i++) {
+	for (i = 0; i < r->ndaemons; i++) {
 		if (!world_wait_ready(r->w, r->d[i], true, READY_MS))
 			broken(r, "not ready in the end", r->d[i]->name);
 		world_ask(r->w, r->d[i]->listen,
@@ -365,6 +390,12 @@
 			broken(r, "not the newest version", r->d[i]->name);
 		g_string_free(a.body, TRUE);
 	}
+	for (j = 0; j < r->w->servers->len; j++) {
+		world_server_t *s = r->w->servers->pdata[j];
+
+		if (s->late_runs)
+			broken(r, "new work long after it drained", s->id);
+	}
 	g_hash_table_iter_init(&it, r->refused);
 	while (g_hash_table_iter_next(&it, &id, NULL))
 		if (world_runs(r->w, id))
@@ -376,12 +407,26 @@
 			broken(r, "ran twice", id);
 }
 
-static unsigned soak(uint64_t seed, unsigned ms, const char *speech)
+/* What the command line asks for. */
+typedef struct options {
+	gint first;
+	gint count;
+	gint ms;
+	gint daemons;
+	gboolean proxies;
+	gchar *speech;
+} options_t;
+
+static unsigned soak(uint64_t seed, const options_t *o)
 {
-	run_t r = { .w = world_new(speech), .rng = { seed }, .has_one = true };
+	run_t r = { .w = world_new(o->speech),
+		    .ndaemons = (unsigned)o->daemons,
+		    .rng = { seed },
+		    .has_one = true };
 	usec_t until;
 	unsigned i;
 
+	r.w->use_proxies = o->proxies;
 	r.refused =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	put_conf(&r);
@@ -389,12 +434,12 @@
 		world_server(r.w, "a", i ? "y" : "x");
 		world_server(r.w, "b", i ? "y" : "x");
 	}
-	for (i = 0; i < DAEMONS; i++)
+	for (i = 0; i < r.ndaemons; i++)
 		r.d[i] = world_daemon(r.w, i ? "x" : "y");
-	for (i = 0; i < DAEMONS; i++)
+	for (i = 0; i < r.ndaemons; i++)
 		if (!world_wait_ready(r.w, r.d[i], true, READY_MS))
 			broken(&r, "not ready at the start", r.d[i]->name);
-	for (i = 0; i < CALLERS; i++) {
+	for (i = 0; i < r.ndaemons * CALLERS_PER_DAEMON; i++) {
 		asker_t *k = &r.askers[i];
 
 		k->r = &r;
@@ -402,13 +447,13 @@
 		k->timer = evtimer_new(r.w->base, on_timer, k);
 		ask_next(k);
 	}
-	until = standin_now() + ms * USEC_PER_MSEC;
+	until = standin_now() + o->ms * USEC_PER_MSEC;
 	while (standin_now() < until) {
 		world_pass(r.w, STEP_MS);
 		event(&r);
 	}
 	check_end(&r);
-	for (i = 0; i < CALLERS; i++) {
+	for (i = 0; i < r.ndaemons * CALLERS_PER_DAEMON; i++) {
 		hang_up(&r.askers[i]);
 		event_free(r.askers[i].timer);
 		http_msg_clear(&r.askers[i].msg);
@@ -425,15 +470,19 @@
 
 int main(int argc, char **argv)
 {
-	gint first = 1, count = 1, ms = 5000;
-	gchar *speech = NULL;
+	options_t o = { .first = 1, .count = 1, .ms = 5000, .daemons = 3 };
 	const GOptionEntry entries[] = {
-		{ "seed", 's', 0, G_OPTION_ARG_INT, &first, "First seed", "N" },
-		{ "count", 'c', 0, G_OPTION_ARG_INT, &count, "Seeds to play",
+		{ "seed", 's', 0, G_OPTION_ARG_INT, &o.first, "First seed",
+		  "N" },
+		{ "count", 'c', 0, G_OPTION_ARG_INT, &o.count, "Seeds to play",
 		  "N" },
-		{ "ms", 'm', 0, G_OPTION_ARG_INT, &ms,
+		{ "ms", 'm', 0, G_OPTION_ARG_INT, &o.ms,
 		  "Time with faults, of each seed", "MS" },
-		{ "speech", 0, 0, G_OPTION_ARG_STRING, &speech,
+		{ "daemons", 'd', 0, G_OPTION_ARG_INT, &o.daemons,
+		  "Daemons that run, 1 to 100", "N" },
+		{ "proxies", 'p', 0, G_OPTION_ARG_NONE, &o.proxies,
+		  "Harm connections to the store and to servers", NULL },
+		{ "speech", 0, 0, G_OPTION_ARG_STRING, &o.speech,
 		  "How stand-ins speak: platform or own", "NAME" },
 		G_OPTION_ENTRY_NULL
 	};
@@ -445,14 +494,17 @@
 	if (!g_option_context_parse(ctx, &argc, &argv, NULL))
 		return EXIT_FAILURE;
 	g_option_context_free(ctx);
-	if (!world_speech(speech ? speech : "platform")) {
-		fprintf(stderr, "soak: no such way of speaking: %s\n", speech);
+	if (!o.speech)
+		o.speech = g_strdup("platform");
+	if (!world_speech(o.speech) || o.daemons < 1 ||
+	    o.daemons > MAX_DAEMONS) {
+		fputs("soak: no such way of speaking, or bad --daemons\n",
+		      stderr);
 		return EXIT_FAILURE;
 	}
 	setvbuf(stdout, NULL, _IOLBF, 0);
-	for (i = 0; i < count; i++)
-		faults += soak((uint64_t)first + (uint64_t)i, (unsigned)ms,
-			       speech ? speech : "platform");
-	g_free(speech);
+	for (i = 0; i < o.count; i++)
+		faults += soak((uint64_t)o.first + (uint64_t)i, &o);
+	g_free(o.speech);
 	return faults ? EXIT_FAILURE : EXIT_SUCCESS;
 }
