--- a/standin/world_proxy.c
+++ b/standin/world_proxy.c
@@ -41,7 +41,6 @@
 	struct linger now = { 1, 0 };
 	size_t i;
 
-	g_ptr_array_remove_fast(p->proxy->pairs, p);
 	for (i = 0; i < 2; i++) {
 		if (reset)
 			setsockopt(bufferevent_getfd(p->ends[i]), SOL_SOCKET,
@@ -103,6 +102,7 @@
 		evbuffer_write(bufferevent_get_output(p->ends[!from]),
 			       bufferevent_getfd(p->ends[!from]));
 	}
+	g_ptr_array_remove_fast(p->proxy->pairs, p);
 	pair_free(p, !(what & BEV_EVENT_EOF));
 }
 
@@ -150,14 +150,14 @@
 	if (mode != WORLD_PROXY_RESET)
 		return;
 	while (x->pairs->len)
-		pair_free(x->pairs->pdata[0], true);
+		pair_free(g_ptr_array_steal_index_fast(x->pairs, 0), true);
 	x->mode = WORLD_PROXY_PASS;
 }
 
 void world_proxy_free(world_proxy_t *x)
 {
 	while (x->pairs->len)
-		pair_free(x->pairs->pdata[0], false);
+		pair_free(g_ptr_array_steal_index_fast(x->pairs, 0), false);
 	g_ptr_array_free(x->pairs, TRUE);
 	evconnlistener_free(x->listener);
 	g_free(x);
