Hosts that are told what is published know that the registry was away

The process test was red: a host in the eighth place by order had no server of a shard. Change: messages of published state carry how long ago the registry came back.

--- a/daemon/edge_peer.c
+++ b/daemon/edge_peer.c
@@ -43,6 +43,7 @@
 	char *bytes;
 
 	fleet_tell(e->fleet, m, fleet_state_revision(e->state), now);
+	m->back = rt_registry_back(e->rt, now);
 	bytes = fleet_encode(m, &sz);
 	/* One that was not sent is made up for by the next greeting. */
 	peers_send_bytes(e->peers->peers, to, bytes, sz, now);
@@ -91,6 +92,9 @@
 	uint64_t known = fleet_state_revision(e->state);
 	size_t i;
 
+	/* Before the items: what left the registry may have lapsed. */
+	if (m->back >= 0)
+		rt_registry_was_back(e->rt, now - m->back);
 	/* Confirmed just now: what lapsed while it was away can be told. */
 	if (m->age >= 0 && m->age < SILENT_TIME)
 		rt_registry(e->rt, true, now);
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -45,6 +45,8 @@
 	str_t dc;
 	uint64_t revision; /**< that the sender's state holds for */
 	usec_t age;	/**< since the registry confirmed it; below 0: never */
+	usec_t back;	/**< of STATE: since the registry came back after it was
+			     away; below 0: it was not */
 	uint64_t since; /**< of ASK and STATE: changes after it */
 	bool whole;	/**< of STATE: keys that are not named are gone */
 	str_t server;	/**< of PACE: its id */
--- a/fleet/fleet_wire.c
+++ b/fleet/fleet_wire.c
@@ -1,7 +1,8 @@
 /**
  * @file fleet_wire.c
  * Messages as bytes: one msgpack array of version, kind, sender, revision,
- * age, a server's pace, members told of, and items.
+ * age, since when the registry is back, a server's pace, members told of, and
+ * items.
  */
 #include <msgpack.h>
 #include <stdlib.h>
@@ -10,8 +11,8 @@
 #include "fleet.h"
 #include "wire.h"
 
-#define VERSION 1
-#define MEMBERS 12 /* of the outer array */
+#define VERSION 2
+#define MEMBERS 13 /* of the outer array */
 #define MAX_ITEMS 100000
 
 static void pack_str(msgpack_packer *pk, str_t v)
@@ -60,6 +61,7 @@
 	pack_str(&pk, m->dc);
 	msgpack_pack_uint64(&pk, m->revision);
 	msgpack_pack_int64(&pk, m->age);
+	msgpack_pack_int64(&pk, m->back);
 	msgpack_pack_uint64(&pk, m->since << 1 | m->whole);
 	pack_str(&pk, m->server);
 	msgpack_pack_uint64(&pk, m->pace);
@@ -155,13 +157,13 @@
 	m->kind = (fleet_kind_t)kind;
 	if (!get_str(&at[2], &m->from, mem) || !get_str(&at[3], &m->dc, mem) ||
 	    !get_u64(&at[4], &m->revision) || !get_i64(&at[5], &m->age) ||
-	    !get_u64(&at[6], &m->since))
+	    !get_i64(&at[6], &m->back) || !get_u64(&at[7], &m->since))
 		return false;
 	m->whole = m->since & 1;
 	m->since >>= 1;
-	return get_str(&at[7], &m->server, mem) && get_u64(&at[8], &m->pace) &&
-	       get_u64(&at[9], &m->failing) && get_told(&at[10], m, mem) &&
-	       get_items(&at[11], m, mem);
+	return get_str(&at[8], &m->server, mem) && get_u64(&at[9], &m->pace) &&
+	       get_u64(&at[10], &m->failing) && get_told(&at[11], m, mem) &&
+	       get_items(&at[12], m, mem);
 }
 
 bool fleet_decode(const char *bytes, size_t sz, fleet_msg_t *m, arena_t *mem)
--- a/route/route.h
+++ b/route/route.h
@@ -240,6 +240,13 @@
 void rt_release(rt_t *rt, usec_t now);
 /** Whether the registry answers. */
 void rt_registry(rt_t *rt, bool up, usec_t now);
+/**
+ * Another host tells when the registry came back after it was away: what
+ * leaves it soon after that may have lapsed.
+ */
+void rt_registry_was_back(rt_t *rt, usec_t at);
+/** How long ago it came back, as far as is known; below 0: never. */
+usec_t rt_registry_back(const rt_t *rt, usec_t now);
 
 /** A caller asks; an RT_ACT_ANSWER follows, at once or later. */
 void rt_request(rt_t *rt, const rt_request_t *r, usec_t now);
--- a/route/rt_registry.c
+++ b/route/rt_registry.c
@@ -223,6 +223,17 @@
 		rt->registry_back_at = now;
 }
 
+void rt_registry_was_back(rt_t *rt, usec_t at)
+{
+	if (at > rt->registry_back_at)
+		rt->registry_back_at = at;
+}
+
+usec_t rt_registry_back(const rt_t *rt, usec_t now)
+{
+	return rt->registry_back_at ? now - rt->registry_back_at : -1;
+}
+
 void rt_servers_free(rt_t *rt)
 {
 	uint32_t i;
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -534,6 +534,51 @@
 	world_free(r.w);
 }
 
+/*
+ * Leases run out while the store is away, and the servers live: hosts that are
+ * told by a neighbour what the store says go on using them like those that
+ * read it, until they had time to register again.
+ */
+static void test_lapse_told(void)
+{
+	enum { HOSTS = 8, ROUNDS = 8, DOWN_MS = 1600 };
+	world_daemon_t *d[HOSTS];
+	world_answer_t a;
+	size_t i, j;
+	rig_t r = rig_new();
+
+	d[0] = r.d;
+	for (i = 1; i < HOSTS; i++)
+		d[i] = world_daemon(r.w, "x");
+	for (i = 1; i < HOSTS; i++)
+		CU_ASSERT(world_wait_ready(r.w, d[i], true, READY_MS));
+	/* Until one reads for all. */
+	world_pass(r.w, 4000);
+	r.w->store_down = true;
+	world_pass(r.w, DOWN_MS);
+	world_publish(r.a[0], NULL);
+	world_publish(r.a[1], NULL);
+	r.w->store_down = false;
+	for (j = 0; j < ROUNDS; j++) {
+		for (i = 0; i < HOSTS; i++) {
+			world_ask(r.w, d[i]->listen, GET("/all/x", "lapse"),
+				  ASK_MS, &a);
+			if (a.status != 200)
+				printf("\n  host %zu, round %zu: %u\n", i, j,
+				       a.status);
+			CU_ASSERT_EQUAL(a.status, 200);
+			CU_ASSERT_EQUAL(a.missing, 0);
+			clear(&a);
+		}
+		world_pass(r.w, 200);
+		if (j == ROUNDS / 2) {
+			world_publish(r.a[0], "ready");
+			world_publish(r.a[1], "ready");
+		}
+	}
+	world_free(r.w);
+}
+
 /* Connections to near servers stay open; those to others close soon, so that
  * servers have room when all hosts come back at once. */
 static void test_spare_connections(void)
@@ -591,6 +636,7 @@
 		{ "reload", test_reload },
 		{ "refused at once", test_refused },
 		{ "the log is not read", test_log_unread },
+		{ "leases that run out, as neighbours tell", test_lapse_told },
 		{ "connections that are not kept", test_spare_connections },
 		{ "metrics", test_metrics },
 		{ "operators", test_operators },
--- a/tests/unit_outside.c
+++ b/tests/unit_outside.c
@@ -404,6 +404,7 @@
 			  .dc = STR("a"),
 			  .revision = 10,
 			  .age = -1,
+			  .back = 55,
 			  .since = 8,
 			  .whole = true,
 			  .ntold = 1,
@@ -421,6 +422,7 @@
 	CU_ASSERT_EQUAL(got.since, 8);
 	CU_ASSERT(got.whole);
 	CU_ASSERT_EQUAL(got.age, -1);
+	CU_ASSERT_EQUAL(got.back, 55);
 	CU_ASSERT_EQUAL(got.nitems, 2);
 	CU_ASSERT(got.items[1].deleted);
 	CU_ASSERT_EQUAL(got.told[0].age, 77);
