One reader of items for both ways of speaking

Cause: duplicates showed the same look at keys and items in platform/ and in daemon/outside_own.c. Change: daemon/outside_items.c reads both by a table of names; a row gives the names and how a value is written.

--- a/Makefile
+++ b/Makefile
@@ -60,8 +60,8 @@
 WORLD = $(wildcard standin/world*.c)
 # What stand-ins share with the daemon: formats, and reading HTTP.
 SPEECH = $(BASE) $(CONF) $(ROUTE) $(FLEET) wire/wire_scan.c $(PLATFORM) \
-	daemon/edge_http.c daemon/outside.c daemon/outside_own.c \
-	daemon/listen.c
+	daemon/edge_http.c daemon/outside.c daemon/outside_items.c \
+	daemon/outside_own.c daemon/listen.c
 
 $(BUILD)/edge-test: $(call obj,$(SPEECH) $(WORLD) standin/http.c tests/edge_main.c)
 	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
@@ -85,7 +85,7 @@
 UNIT = $(wildcard tests/unit_*.c) tests/route_rig.c
 $(BUILD)/unit: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) $(ROUTE) $(FLEET) \
 	$(PLATFORM) daemon/job.c daemon/edge_http.c daemon/outside.c \
-	daemon/outside_own.c $(UNIT))
+	daemon/outside_items.c daemon/outside_own.c $(UNIT))
 	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
 
 # The operators' library.
--- a/daemon/outside.h
+++ b/daemon/outside.h
@@ -71,6 +71,27 @@
 			    char fault[OUTSIDE_FAULT_MAX]);
 } outside_t;
 
+struct json_t;
+
+/** Names in lists and changes of published state, where a row has JSON. */
+typedef struct outside_form {
+	const char *list;     /**< array of a list's items */
+	const char *changes;  /**< array of changes */
+	const char *revision; /**< that the answer holds for */
+	const char *more;     /**< true: the list goes on */
+	const char *deleted;  /**< true in an item that was deleted */
+	const char *config_key;
+	const char *server_prefix; /**< of the keys of servers */
+	/** The value of an item; false if there is none. */
+	bool (*value)(struct json_t *item, str_t *value, arena_t *mem);
+} outside_form_t;
+
+/** Reads a list or changes; false if the body is neither. */
+bool outside_read_items(const outside_form_t *f, str_t body,
+			outside_items_t *items, arena_t *mem);
+/** What a key tells of, and for a server its id. */
+outside_kind_t outside_kind_of(const outside_form_t *f, str_t key,
+			       str_t *server_id);
 /** The way of speaking with a name; NULL if there is none. */
 const outside_t *outside_by_name(const char *name);
 
--- a/daemon/outside_own.c
+++ b/daemon/outside_own.c
@@ -7,7 +7,6 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "member.h"
 #include "outside_own.h"
@@ -15,18 +14,27 @@
 #define MAX_SLOTS 100000 /* more is a fault, not a server */
 #define MAX_WARM_MS ((uint64_t)3600000)
 
-static const char routes_key[] = "routes";
-static const char server_prefix[] = "servers/";
-
 static void list_path(char path[OUTSIDE_PATH_MAX], str_t after, bool stale);
 static void watch_path(char path[OUTSIDE_PATH_MAX], uint64_t after,
 		       usec_t wait);
+static bool item_value(json_t *item, str_t *value, arena_t *mem);
 static bool read_items(str_t body, outside_items_t *items, arena_t *mem);
 static outside_kind_t kind(str_t key, str_t *server_id);
 static rt_conf_t *read_config(str_t value, char fault[OUTSIDE_FAULT_MAX]);
 static bool read_server(str_t id, str_t value, rt_entry_t *e, arena_t *mem,
 			char fault[OUTSIDE_FAULT_MAX]);
 
+static const outside_form_t form = {
+	.list = "items",
+	.changes = "items",
+	.revision = "revision",
+	.more = "more",
+	.deleted = "deleted",
+	.config_key = "routes",
+	.server_prefix = "servers/",
+	.value = item_value,
+};
+
 const outside_t own_outside = {
 	.name = "own",
 	.headers = {
@@ -65,58 +73,27 @@
 		 (long long)(wait / USEC_PER_MSEC));
 }
 
-static bool read_item(json_t *o, outside_item_t *to, arena_t *mem)
+/* Any JSON value, as its text. */
+static bool item_value(json_t *item, str_t *value, arena_t *mem)
 {
-	json_t *value = json_object_get(o, "value");
-	char *text;
+	json_t *v = json_object_get(item, "value");
+	char *text = v ? json_dumps(v, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
 
-	if (!member_str(o, "key", &to->key) ||
-	    !member_whole(o, "revision", &to->revision))
+	if (!text)
 		return false;
-	to->key = arena_str(mem, to->key);
-	to->deleted = json_is_true(json_object_get(o, "deleted"));
-	if (to->deleted)
-		return true;
-	if (!value)
-		return false;
-	text = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
-	to->value = arena_str(mem, str_of(text));
+	*value = arena_str(mem, str_of(text));
 	free(text);
 	return true;
 }
 
 static bool read_items(str_t body, outside_items_t *items, arena_t *mem)
 {
-	json_t *o = json_loadb(body.s ? body.s : "", body.sz, 0, NULL);
-	json_t *a = json_object_get(o, "items");
-	bool ok = false;
-	size_t i;
-	json_t *v;
-
-	*items = (outside_items_t){ 0 };
-	if (!json_is_array(a) || !member_whole(o, "revision", &items->revision))
-		goto out;
-	items->more = json_is_true(json_object_get(o, "more"));
-	items->v = arena_alloc(mem, json_array_size(a) * sizeof(*items->v));
-	json_array_foreach(a, i, v)
-		if (!read_item(v, &items->v[items->n++], mem))
-			goto out;
-	ok = true;
-out:
-	json_decref(o);
-	return ok;
+	return outside_read_items(&form, body, items, mem);
 }
 
 static outside_kind_t kind(str_t key, str_t *server_id)
 {
-	str_t prefix = str_of(server_prefix);
-
-	if (str_eq(key, str_of(routes_key)))
-		return OUTSIDE_CONFIG;
-	if (key.sz <= prefix.sz || memcmp(key.s, prefix.s, prefix.sz) != 0)
-		return OUTSIDE_OTHER;
-	*server_id = (str_t){ key.s + prefix.sz, key.sz - prefix.sz };
-	return OUTSIDE_SERVER;
+	return outside_kind_of(&form, key, server_id);
 }
 
 static rt_conf_t *read_config(str_t value, char fault[OUTSIDE_FAULT_MAX])
