--- a/Makefile
+++ b/Makefile
@@ -116,7 +116,7 @@
 	install $(BUILD)/geraniumslip $(DESTDIR)$(PREFIX)/bin
 	install $(BUILD)/geraniumslipd $(DESTDIR)$(PREFIX)/sbin
 	install -m 644 $(BUILD)/libgeraniumslip-conf.a $(DESTDIR)$(PREFIX)/lib
-	install -m 644 base/base.h conf/conf.h \
+	install -m 644 base/base.h conf/conf.h conf/routes.h \
 		$(DESTDIR)$(PREFIX)/include/geraniumslip
 	sed 's|@PREFIX@|$(PREFIX)|' conf/geraniumslip-conf.pc.in > \
 		$(DESTDIR)$(PREFIX)/lib/pkgconfig/geraniumslip-conf.pc
--- a/ctl/completion.bash
+++ b/ctl/completion.bash
@@ -1,7 +1,7 @@
 # Completion of geraniumslip for bash.
 _geraniumslip() {
 	local cur=${COMP_WORDS[COMP_CWORD]} prev=${COMP_WORDS[COMP_CWORD - 1]}
-	local commands="check diff status upstreams explain top drain trace"
+	local commands="check diff route status upstreams explain top drain trace"
 	local options="--daemon --token-file --json --rounds --version --help"
 
 	case "$prev" in
