Whether a host stood still is decided in route/

Change: rt_awake() takes the time, holds what would be sent and asks for RT_ACT_CONFIRM; the loop only calls the registry. The unit test has a row on each side of the limit. Two constants of second sends say where they come from.

--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -19,12 +19,7 @@
 #define UNSENT_TIME_MS 3000 /* the same for bytes that are not confirmed */
 #define STOP_POLL_MS 50
 #define SETTINGS_LOOK_S 2 /* the file may change without a signal */
-/* A loop that did not turn for so long stood still: frozen or suspended. A
- * server that leaves must get no new work some seconds after it said so. */
-#define STOOD_STILL (1 * USEC_PER_SEC)
-#define PULSE_MS 250 /* between turns of the loop at the least */
-/* Registries answer in milliseconds; callers wait for it so long at most. */
-#define HOLD_TIME (200 * USEC_PER_MSEC)
+#define PULSE_MS 250	  /* between turns of the loop: a quarter of a sleep */
 /* Before the process is killed what is open is given up. */
 #define STOP_MARGIN (300 * USEC_PER_MSEC)
 
@@ -36,13 +31,14 @@
 static void act_open(edge_t *e, const rt_act_t *act);
 static void act_close(edge_t *e, const rt_act_t *act);
 static void act_tell(edge_t *e, const rt_act_t *act);
+static void act_confirm(edge_t *e, const rt_act_t *act);
 static void act_log(edge_t *e, const rt_act_t *act);
 
 static const act_fn_t act_fns[RT_ACT_MAX] = {
-	[RT_ACT_SEND] = act_send,     [RT_ACT_CANCEL] = act_cancel,
-	[RT_ACT_ANSWER] = act_answer, [RT_ACT_OPEN] = act_open,
-	[RT_ACT_CLOSE] = act_close,   [RT_ACT_TELL] = act_tell,
-	[RT_ACT_LOG] = act_log,
+	[RT_ACT_SEND] = act_send,	[RT_ACT_CANCEL] = act_cancel,
+	[RT_ACT_ANSWER] = act_answer,	[RT_ACT_OPEN] = act_open,
+	[RT_ACT_CLOSE] = act_close,	[RT_ACT_TELL] = act_tell,
+	[RT_ACT_CONFIRM] = act_confirm, [RT_ACT_LOG] = act_log,
 };
 
 /* What belongs to the run and not to the loop. */
@@ -93,6 +89,12 @@
 			 act->tell.failing);
 }
 
+static void act_confirm(edge_t *e, const rt_act_t *act)
+{
+	(void)act;
+	store_confirm(e->store);
+}
+
 static void act_log(edge_t *e, const rt_act_t *act)
 {
 	edge_log(e, &act->line, clock_now());
@@ -123,27 +125,13 @@
 	set_tick(e);
 }
 
-void edge_notice_sleep(edge_t *e)
-{
-	usec_t now = clock_now();
-	usec_t asleep = now - e->pulse_at;
-
-	e->pulse_at = now;
-	if (asleep < STOOD_STILL)
-		return;
-	log_json(G_LOG_LEVEL_MESSAGE, "stood still", "\"us\":%lld",
-		 (long long)asleep);
-	rt_hold(e->rt, now + HOLD_TIME, now);
-	store_confirm(e->store);
-}
-
 static void on_pulse(evutil_socket_t fd, short what, void *arg)
 {
 	edge_t *e = arg;
 
 	(void)fd;
 	(void)what;
-	edge_notice_sleep(e);
+	rt_awake(e->rt, clock_now());
 	edge_step(e);
 }
 
@@ -153,7 +141,7 @@
 
 	(void)fd;
 	(void)what;
-	edge_notice_sleep(e);
+	rt_awake(e->rt, clock_now());
 	rt_tick(e->rt, clock_now());
 	edge_step(e);
 }
@@ -377,7 +365,6 @@
 	struct timeval period = { 0, PULSE_MS * 1000 };
 	edge_t *e = &r->edge;
 
-	e->pulse_at = clock_now();
 	r->pulse = event_new(e->base, -1, EV_PERSIST, on_pulse, e);
 	evtimer_add(r->pulse, &period);
 }
--- a/daemon/edge_caller.c
+++ b/daemon/edge_caller.c
@@ -303,7 +303,7 @@
 		reject(c, 400, r.left < 0 ? "time_left" : "host");
 		return;
 	}
-	edge_notice_sleep(c->e);
+	rt_awake(c->e->rt, clock_now());
 	build_forward(c);
 	r.id = caller_id(c);
 	r.host = host_of(&c->msg, host, sizeof(host));
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -178,7 +178,6 @@
 	struct fleet_peers *peers;
 	struct callers *callers;
 	struct event *tick;
-	usec_t pulse_at; /* when the loop turned last */
 	bool running_acts;
 	bool stopping;	   /* not ready; callers are sent away */
 	bool closed;	   /* no listener any more */
@@ -186,11 +185,6 @@
 	unsigned log_lines[EDGE_LOG_KINDS]; /* since then */
 };
 
-/**
- * Notices that the process stood still: what it knows is confirmed before
- * more is sent. To be called before what came meanwhile is handled.
- */
-void edge_notice_sleep(edge_t *e);
 /** Whether new connections are welcome. */
 bool edge_is_ready(const edge_t *e);
 /** Does what the decisions ask for and sets the next tick. */
--- a/route/libroute.h
+++ b/route/libroute.h
@@ -168,6 +168,7 @@
 	rt_query_t *open; /* not answered yet */
 	size_t nopen;
 	size_t nwaiting;
+	usec_t turned_at;  /* the host was awake */
 	usec_t hold_until; /* nothing is sent before; 0: the host is awake */
 	bool registry_up;
 	usec_t registry_back_at; /* 0: never lost */
--- a/route/route.h
+++ b/route/route.h
@@ -127,12 +127,13 @@
 
 /** What is to be done. */
 typedef enum rt_act_kind {
-	RT_ACT_SEND,   /**< send a request to a server */
-	RT_ACT_CANCEL, /**< break a send off; no rt_ended() follows */
-	RT_ACT_ANSWER, /**< answer a caller */
-	RT_ACT_OPEN,   /**< keep connections to a server open */
-	RT_ACT_CLOSE,  /**< a server is gone: close what is idle */
-	RT_ACT_TELL,   /**< tell neighbours that a server is slow or well */
+	RT_ACT_SEND,	/**< send a request to a server */
+	RT_ACT_CANCEL,	/**< break a send off; no rt_ended() follows */
+	RT_ACT_ANSWER,	/**< answer a caller */
+	RT_ACT_OPEN,	/**< keep connections to a server open */
+	RT_ACT_CLOSE,	/**< a server is gone: close what is idle */
+	RT_ACT_TELL,	/**< tell neighbours that a server is slow or well */
+	RT_ACT_CONFIRM, /**< ask the registry at once; rt_release() follows */
 	RT_ACT_LOG,
 	RT_ACT_MAX,
 } rt_act_kind_t;
@@ -232,10 +233,11 @@
 void rt_told(rt_t *rt, str_t server_id, double pace, double failing,
 	     usec_t now);
 /**
- * The host stood still: what it believes may be old. Nothing is sent until
- * rt_release(), or that time: without the registry old beliefs must do.
+ * The loop turns; to be called before what came meanwhile is handled. After a
+ * sleep beliefs may be old: RT_ACT_CONFIRM follows, and nothing is sent until
+ * rt_release(), or for a short time: without the registry old ones must do.
  */
-void rt_hold(rt_t *rt, usec_t until, usec_t now);
+void rt_awake(rt_t *rt, usec_t now);
 /** The registry confirmed what is believed. */
 void rt_release(rt_t *rt, usec_t now);
 /** Whether the registry answers. */
--- a/route/rt.c
+++ b/route/rt.c
@@ -6,6 +6,11 @@
 #define SWEEP_PERIOD (25 * USEC_PER_MSEC) /* while sends are out */
 /* Without sends only lapsed servers are looked at: half a second is soon. */
 #define IDLE_PERIOD (500 * USEC_PER_MSEC)
+/* A loop that did not turn for so long stood still: frozen or suspended. A
+ * server that leaves must get no new work some seconds after it said so. */
+#define STOOD_STILL (1 * USEC_PER_SEC)
+/* Registries answer in milliseconds; callers wait for it so long at most. */
+#define HOLD_TIME (200 * USEC_PER_MSEC)
 #define FLEET_DEFAULT 12 /* hosts, where nothing better is known */
 #define CALLER_LINK                                                            \
 	(14 * USEC_PER_MSEC) /* way back to a caller, and its turn */
@@ -33,6 +38,7 @@
 	rt->p.dc = rt->dc;
 	rt->rng.state = p->seed;
 	rt->registry_up = true;
+	rt->turned_at = now;
 	rt->next_sweep = now + SWEEP_PERIOD;
 	return rt;
 }
@@ -128,13 +134,19 @@
 	return rt->view ? rt->view->conf : NULL;
 }
 
-void rt_hold(rt_t *rt, usec_t until, usec_t now)
+void rt_awake(rt_t *rt, usec_t now)
 {
-	rt->hold_until = until;
+	usec_t asleep = now - rt->turned_at;
+
+	rt->turned_at = now;
+	if (asleep < STOOD_STILL)
+		return;
+	rt->hold_until = now + HOLD_TIME;
+	rt_act_add(rt, RT_ACT_CONFIRM);
 	rt_log(rt, &(rt_line_t){ .what = "held",
 				 .why = RT_WHY_STOOD_STILL,
 				 .result = RT_RESULT_MAX,
-				 .value = until - now,
+				 .value = asleep,
 				 .age = -1,
 				 .failure = true });
 }
--- a/route/rt_shard.c
+++ b/route/rt_shard.c
@@ -13,9 +13,10 @@
 #define PROBE_RESERVE 3.0
 /* Further sends that must be left for retries: without one a shard fails. */
 #define HEDGE_RESERVE 1.5
-/* Usual times that the first send is given at least. */
+/* Usual times that the first send is given at least: 3 of 4 answers are in. */
 #define HEDGE_FIRST 1.5
-/* Share of the allowed further sends from which on they are not saved up. */
+/* Share of the allowed further sends from which on they are not saved up: the
+ * other half is kept for servers that fail or turn slow within the window. */
 #define HEDGE_PLENTY 0.5
 /* Before a server is asked again that refused: about one request's work. */
 #define AGAIN_MIN (10 * USEC_PER_MSEC)
--- a/tests/route_rig.c
+++ b/tests/route_rig.c
@@ -35,6 +35,9 @@
 		case RT_ACT_TELL:
 			r->ntold++;
 			break;
+		case RT_ACT_CONFIRM:
+			r->nconfirms++;
+			break;
 		default:
 			break;
 		}
--- a/tests/route_rig.h
+++ b/tests/route_rig.h
@@ -30,6 +30,7 @@
 	char body[256];
 	size_t body_sz;
 	size_t ntold;
+	size_t nconfirms;
 } rig_t;
 
 /** A configuration of that version; shards begin with that service. */
--- a/tests/unit_registry.c
+++ b/tests/unit_registry.c
@@ -116,25 +116,32 @@
 static void test_held(void)
 {
 	static const struct {
+		usec_t asleep;
 		usec_t released; /* after that time; 0: never */
 		bool leaves;	 /* the near server does, as is learnt then */
 		usec_t sent_by;
 		const char *want;
 	} cases[] = {
-		{ 30 * MS, true, 31 * MS, "i0-1" },
-		{ 30 * MS, false, 31 * MS, "i0-0" },
-		{ 0, true, 201 * MS, "i0-0" },
+		{ 1000 * MS, 30 * MS, true, 31 * MS, "i0-1" },
+		{ 9000 * MS, 30 * MS, false, 31 * MS, "i0-0" },
+		{ 1000 * MS, 0, true, 201 * MS, "i0-0" },
+		{ 999 * MS, 0, false, 0, "i0-0" },
 	};
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		rig_t *r = rig_new(9, 2);
-		usec_t until = r->now + 200 * MS;
+		usec_t until;
 
-		rt_hold(r->rt, until, r->now);
+		rt_awake(r->rt, r->now);
+		r->now += cases[i].asleep;
+		until = r->now + 200 * MS;
+		rt_awake(r->rt, r->now);
+		rig_run(r);
+		CU_ASSERT_EQUAL(r->nconfirms, cases[i].sent_by > 0);
 		rig_ask(r, "/one/x", r);
 		rig_pass(r, 29 * MS);
-		CU_ASSERT_EQUAL(r->nsent, 0);
+		CU_ASSERT_EQUAL(r->nsent, cases[i].sent_by == 0);
 		rig_pass(r, MS);
 		if (cases[i].released) {
 			if (cases[i].leaves)
@@ -144,7 +151,7 @@
 		}
 		while (r->nsent == 0 && r->now < until + USEC_PER_SEC)
 			rig_pass(r, MS);
-		CU_ASSERT(r->now <= until - 200 * MS + cases[i].sent_by);
+		CU_ASSERT(r->sent[0].at <= until - 200 * MS + cases[i].sent_by);
 		CU_ASSERT_STRING_EQUAL(r->sent[0].server, cases[i].want);
 		rig_free(r);
 	}
