--- a/Makefile
+++ b/Makefile
@@ -6,14 +6,33 @@
 SAN ?=
 OPT ?= -O2 -g
 
+# Packages of programs that are installed, and those that only tests need.
 PKGS = glib-2.0 libmicrohttpd neon jansson liburcu-bp libxxhash libzmq msgpack \
 	libevent
-CFLAGS_ALL = -std=gnu11 -D_GNU_SOURCE $(OPT) -Wall -Wextra -Werror -Wshadow \
-	-Wstrict-prototypes -Wmissing-prototypes -Wformat=2 -pthread \
-	$(SAN) $(addprefix -I,base conf core wire route fleet daemon platform standin \
-	tests) \
-	$(shell pkg-config --cflags $(PKGS) cunit) $(CFLAGS)
-LIBS = $(SAN) $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lm -pthread
+TEST_PKGS = cunit
+INCLUDES = base conf core wire route fleet daemon platform
+TEST_INCLUDES = standin tests
+
+# Flags of the packages $(1). pkg-config prints no flag at all when one of several
+# names is unknown, so it stops make here instead of in each compile.
+pkg_check = $(if $(filter 0,$(.SHELLSTATUS)),$(1),$(error pkg-config failed for \
+	one of: $(2)))
+pkg_cflags = $(call pkg_check,$(shell pkg-config --cflags $(1)),$(1))
+pkg_libs = $(call pkg_check,$(shell pkg-config --libs $(1)),$(1))
+
+# Computed at first use, once.
+CFLAGS_PKGS = $(eval CFLAGS_PKGS := $(call pkg_cflags,$(PKGS)))$(CFLAGS_PKGS)
+LIBS_PKGS = $(eval LIBS_PKGS := $(call pkg_libs,$(PKGS)))$(LIBS_PKGS)
+CFLAGS_TEST_PKGS = $(eval CFLAGS_TEST_PKGS := \
+	$(call pkg_cflags,$(TEST_PKGS)))$(CFLAGS_TEST_PKGS)
+LIBS_TEST_PKGS = $(eval LIBS_TEST_PKGS := \
+	$(call pkg_libs,$(TEST_PKGS)))$(LIBS_TEST_PKGS)
+
+CPPFLAGS_ALL = -std=gnu11 -D_GNU_SOURCE $(addprefix -I,$(INCLUDES)) $(CFLAGS_PKGS)
+CPPFLAGS_TEST = $(addprefix -I,$(TEST_INCLUDES)) $(CFLAGS_TEST_PKGS)
+CFLAGS_ALL = $(CPPFLAGS_ALL) $(OPT) -Wall -Wextra -Werror -Wshadow \
+	-Wstrict-prototypes -Wmissing-prototypes -Wformat=2 -pthread $(SAN) $(CFLAGS)
+LIBS = $(SAN) $(LIBS_PKGS) -lhttp_parser -lm -pthread
 
 BASE = $(wildcard base/*.c)
 CONF = $(wildcard conf/*.c)
@@ -40,6 +59,12 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS_ALL) -MMD -MP -c -o $@ $<
 
+$(BUILD)/tests/%.o $(BUILD)/standin/%.o: CFLAGS_ALL += $(CPPFLAGS_TEST)
+
+# The flags of the preprocessor for all sources, for linters.
+print-cppflags:
+	@echo $(CPPFLAGS_ALL) $(CPPFLAGS_TEST)
+
 $(BUILD)/geraniumslipd: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) $(ROUTE) $(FLEET) \
 	$(DAEMON) $(PLATFORM))
 	$(CC) -o $@ $^ $(LIBS)
@@ -55,7 +80,7 @@
 
 SCENARIO = $(wildcard tests/scenario_*.c)
 $(BUILD)/scenario: $(call obj,$(BASE) $(CONF) $(LAB) $(SCENARIO))
-	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
+	$(CC) -o $@ $^ $(LIBS) $(LIBS_TEST_PKGS)
 
 WORLD = $(wildcard standin/world*.c)
 # What stand-ins share with the daemon: formats, and reading HTTP.
@@ -64,13 +89,13 @@
 	daemon/outside_own.c daemon/listen.c
 
 $(BUILD)/edge-test: $(call obj,$(SPEECH) $(WORLD) standin/http.c tests/edge_main.c)
-	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
+	$(CC) -o $@ $^ $(LIBS) $(LIBS_TEST_PKGS)
 
 $(BUILD)/soak: $(call obj,$(SPEECH) $(WORLD) standin/http.c tests/soak/soak.c)
 	$(CC) -o $@ $^ $(LIBS)
 
 $(BUILD)/ctl-test: $(call obj,tests/ctl_main.c)
-	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
+	$(CC) -o $@ $^ $(LIBS) $(LIBS_TEST_PKGS)
 
 PLAY = $(filter-out tests/scenario_main.c,$(SCENARIO))
 $(BUILD)/experiment: $(call obj,$(BASE) $(CONF) $(LAB) $(PLAY) standin/experiment.c)
@@ -86,7 +111,7 @@
 $(BUILD)/unit: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) $(ROUTE) $(FLEET) \
 	$(PLATFORM) daemon/job.c daemon/edge_http.c daemon/outside.c \
 	daemon/outside_items.c daemon/outside_own.c $(UNIT))
-	$(CC) -o $@ $^ $(LIBS) $(shell pkg-config --libs cunit)
+	$(CC) -o $@ $^ $(LIBS) $(LIBS_TEST_PKGS)
 
 # The operators' library.
 $(BUILD)/libgeraniumslip-conf.a: $(call obj,$(BASE) $(CONF))
@@ -97,9 +122,8 @@
 	@mkdir -p $(@D)
 	clang -std=gnu11 -D_GNU_SOURCE -O1 -g \
 		-fsanitize=fuzzer,address,undefined \
-		$(addprefix -I,base conf core wire) \
-		$(shell pkg-config --cflags $(PKGS)) -o $@ $^ \
-		$(shell pkg-config --libs jansson msgpack libxxhash) -lm
+		$(addprefix -I,base conf core wire) $(CFLAGS_PKGS) -o $@ $^ \
+		$(call pkg_libs,jansson msgpack libxxhash) -lm
 
 $(BUILD)/deploy-%: $(BUILD)/deploy/%.o $(call obj,$(BASE) $(CONF))
 	$(CC) -o $@ $^ $(LIBS)
@@ -130,6 +154,6 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all clean install
+.PHONY: all clean install print-cppflags
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
