A daemon that listed the registry tells wholes to those from before the list

Cause: a daemon that lists the registry after a removal knows no deletion of the key. Its floor, the revision up to which deletions may be unknown, stayed 0, so it answered a neighbour that asked from before the removal with a part; the neighbour took its revision as reached and watched from there. It never heard of the deletion, from anybody.

Evidence: the log of the finding (removal at 12.01; the hosts that logged `gone` are those that watched, the others asked the host that had started at 12.08). Ruled out: the registry (calm since before) and the lost answers (they end earlier). Unit test red before: six checks of "a deletion from before a list".

Change: a list whose revision is above what was known raises the floor to it. It is taken for a told whole as well, since a neighbour's forgotten deletions are not in it. fleet_state_told() takes a message out of the loop into fleet/.

--- a/daemon/edge_peer.c
+++ b/daemon/edge_peer.c
@@ -91,23 +91,13 @@
 
 static void on_state(edge_t *e, const fleet_msg_t *m, usec_t now)
 {
-	uint64_t known = fleet_state_revision(e->state);
-	size_t i;
-
 	/* Before the items: what left the registry may have lapsed. */
 	if (m->back >= 0)
 		rt_registry_was_back(e->rt, now - m->back);
 	/* Confirmed just now: what lapsed while it was away can be told. */
 	if (m->age >= 0 && m->age < SILENT_TIME)
 		rt_registry(e->rt, true, now);
-	if (m->whole)
-		fleet_state_list_begin(e->state);
-	for (i = 0; i < m->nitems; i++)
-		fleet_state_take(e->state, &m->items[i]);
-	if (m->whole)
-		fleet_state_list_end(e->state, m->revision);
-	else if (m->since <= known)
-		fleet_state_reached(e->state, m->revision);
+	fleet_state_told(e->state, m);
 }
 
 static void on_pace(edge_t *e, const fleet_msg_t *m, usec_t now)
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -85,6 +85,8 @@
 void fleet_state_list_end(fleet_state_t *s, uint64_t revision);
 /** All changes up to a revision are taken. */
 void fleet_state_reached(fleet_state_t *s, uint64_t revision);
+/** Takes what a neighbour tells in a FLEET_STATE. */
+void fleet_state_told(fleet_state_t *s, const fleet_msg_t *m);
 /** Fills in what changed after m->since; the items are in mem. */
 void fleet_state_since(const fleet_state_t *s, fleet_msg_t *m, arena_t *mem);
 
--- a/fleet/fleet_state.c
+++ b/fleet/fleet_state.c
@@ -27,7 +27,7 @@
 	size_t ndeleted;
 	strmap_t by_key;
 	uint64_t revision;
-	uint64_t floor; /* deletions up to it may be forgotten */
+	uint64_t floor; /* deletions up to it may not be known */
 };
 
 fleet_state_t *fleet_state_new(fleet_changed_t fn, void *arg)
@@ -150,6 +150,9 @@
 		s->ndeleted++;
 		s->changed(s->arg, &it);
 	}
+	/* A list names no key that came and went since the last one. */
+	if (revision > s->revision && revision > s->floor)
+		s->floor = revision;
 	fleet_state_reached(s, revision);
 }
 
@@ -159,11 +162,26 @@
 		s->revision = revision;
 }
 
+void fleet_state_told(fleet_state_t *s, const fleet_msg_t *m)
+{
+	uint64_t known = s->revision;
+	size_t i;
+
+	if (m->whole)
+		fleet_state_list_begin(s);
+	for (i = 0; i < m->nitems; i++)
+		fleet_state_take(s, &m->items[i]);
+	if (m->whole)
+		fleet_state_list_end(s, m->revision);
+	else if (m->since <= known)
+		fleet_state_reached(s, m->revision);
+}
+
 void fleet_state_since(const fleet_state_t *s, fleet_msg_t *m, arena_t *mem)
 {
 	size_t n = 0, i;
 
-	/* Deletions that are forgotten here: all that is left must be told. */
+	/* Deletions that are not known here: all that is left must be told. */
 	m->whole = m->since == 0 || m->since < s->floor;
 	for (i = 0; i < s->n; i++)
 		n += m->whole || s->v[i]->revision > m->since;
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -14,5 +14,6 @@
 void unit_load(void);
 void unit_registry(void);
 void unit_outside(void);
+void unit_state(void);
 
 #endif
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -19,6 +19,7 @@
 	unit_load();
 	unit_registry();
 	unit_outside();
+	unit_state();
 	unit_walk();
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
