Large changes go from host to host along a tree

Cause: the host that reads the registry sent the whole change, 194 KB, to each of 29 followers: 5.6 MB on a link of 20 Mbit/s, 2.3 s. Its own words queued behind, so 11 to 14 others took it for dead, read the registry and sent the same 5.6 MB each. Callers' connections and requests waited at these full links; a daemon cannot know how long a request was on its way.

Evidence: a trial that logged large messages (194,392 bytes, 29 at once, from three readers at first and 20 hosts later); `reads` of hosts in order at 26.6 to 28.1 s.

Change: a change that would cost over 0.5 MB for all followers together goes to three of them, who pass it on to three each; the order of hosts is the same everywhere. The others hear only that the registry was read. Who stays behind for a fifth of the time in which changes must be in force asks a random one of those who know more; a host answers at most 0.5 MB a period. Messages are encoded once for all receivers. Wire version 3.

--- a/daemon/edge_peer.c
+++ b/daemon/edge_peer.c
@@ -39,19 +39,27 @@
 	[FLEET_AWAY] = on_away,
 };
 
-static void send_msg(edge_t *e, str_t to, fleet_msg_t *m, usec_t now)
+/* Sends one message, which holds for a revision, to several hosts. */
+static void send_all(edge_t *e, const str_t *to, size_t n, fleet_msg_t *m,
+		     uint64_t revision, usec_t now)
 {
-	size_t sz;
+	size_t sz, i;
 	char *bytes;
 
-	fleet_tell(e->fleet, m, fleet_state_revision(e->state), now);
+	fleet_tell(e->fleet, m, revision, now);
 	m->back = rt_registry_back(e->rt, now);
 	bytes = fleet_encode(m, &sz);
 	/* One that was not sent is made up for by the next greeting. */
-	peers_send_bytes(e->peers->peers, to, bytes, sz, now);
+	for (i = 0; i < n; i++)
+		peers_send_bytes(e->peers->peers, to[i], bytes, sz, now);
 	free(bytes);
 }
 
+static void send_msg(edge_t *e, str_t to, fleet_msg_t *m, usec_t now)
+{
+	send_all(e, &to, 1, m, fleet_state_revision(e->state), now);
+}
+
 static void on_hello(edge_t *e, const fleet_msg_t *m, usec_t now)
 {
 	fleet_msg_t reply = { .kind = FLEET_WELCOME };
@@ -73,24 +81,43 @@
 	(void)now;
 }
 
-static void send_state(edge_t *e, str_t to, uint64_t since, usec_t now)
+static size_t bytes_of(const fleet_msg_t *m)
 {
-	fleet_msg_t m = { .kind = FLEET_STATE, .since = since };
+	size_t n = 0, i;
+
+	for (i = 0; i < m->nitems; i++)
+		n += m->items[i].key.sz + m->items[i].value.sz;
+	return n;
+}
+
+static void on_ask(edge_t *e, const fleet_msg_t *m, usec_t now)
+{
+	fleet_msg_t reply = { .kind = FLEET_STATE, .since = m->since };
 	arena_t mem = { 0 };
 
-	fleet_state_since(e->state, &m, &mem);
-	send_msg(e, to, &m, now);
+	if (fleet_state_revision(e->state) <= m->since)
+		return;
+	fleet_state_since(e->state, &reply, &mem);
+	if (fleet_may_answer(e->fleet, bytes_of(&reply), now))
+		send_msg(e, m->from, &reply, now);
 	arena_free(&mem);
 }
 
-static void on_ask(edge_t *e, const fleet_msg_t *m, usec_t now)
+static void pass_on(edge_t *e, const fleet_msg_t *m, usec_t now)
 {
-	if (fleet_state_revision(e->state) > m->since)
-		send_state(e, m->from, m->since, now);
+	fleet_msg_t copy = *m;
+	str_t to[MAX_FOLLOWERS];
+	size_t n = fleet_relay(e->fleet, m->origin, to, MAX_FOLLOWERS, now);
+
+	if (n)
+		send_all(e, to, n, &copy, m->revision, now);
 }
 
 static void on_state(edge_t *e, const fleet_msg_t *m, usec_t now)
 {
+	/* First of all: taking a large configuration takes its time. */
+	if (m->origin.sz && m->revision > fleet_state_revision(e->state))
+		pass_on(e, m, now);
 	/* Before the items: what left the registry may have lapsed. */
 	if (m->back >= 0)
 		rt_registry_was_back(e->rt, now - m->back);
@@ -188,28 +215,46 @@
 	edge_step(e);
 }
 
+/* Tells followers that the registry was read, and what changed. A large change
+ * goes to some of them, who pass it on; the others hear of the reading only. */
+static void spread(edge_t *e, uint64_t before, usec_t now)
+{
+	fleet_msg_t m = { .kind = FLEET_STATE, .since = before };
+	fleet_msg_t word = m;
+	uint64_t revision = fleet_state_revision(e->state);
+	str_t to[MAX_FOLLOWERS];
+	arena_t mem = { 0 };
+	size_t n;
+
+	fleet_state_since(e->state, &m, &mem);
+	if (fleet_relays(e->fleet, bytes_of(&m), now)) {
+		m.origin = str_of(e->settings->peer);
+		n = fleet_relay(e->fleet, m.origin, to, MAX_FOLLOWERS, now);
+		send_all(e, to, n, &m, revision, now);
+		m = word;
+		revision = before;
+	}
+	n = fleet_followers(e->fleet, to, MAX_FOLLOWERS, now);
+	send_all(e, to, n, &m, revision, now);
+	arena_free(&mem);
+}
+
 void fleet_peers_read(edge_t *e, uint64_t before)
 {
 	usec_t now = clock_now();
-	str_t to[MAX_FOLLOWERS];
-	size_t n, i;
 
 	fleet_read(e->fleet, now);
-	if (!fleet_has_followers(e->fleet, now))
-		return;
-	n = fleet_followers(e->fleet, to, MAX_FOLLOWERS, now);
-	for (i = 0; i < n; i++)
-		send_state(e, to[i], before, now);
+	if (fleet_has_followers(e->fleet, now))
+		spread(e, before, now);
 }
 
 static void send_neighbours(edge_t *e, fleet_msg_t *m)
 {
 	usec_t now = clock_now();
 	str_t to[MAX_FOLLOWERS];
-	size_t n = fleet_followers(e->fleet, to, MAX_FOLLOWERS, now), i;
+	size_t n = fleet_followers(e->fleet, to, MAX_FOLLOWERS, now);
 
-	for (i = 0; i < n; i++)
-		send_msg(e, to[i], m, now);
+	send_all(e, to, n, m, fleet_state_revision(e->state), now);
 }
 
 void fleet_peers_leave(edge_t *e)
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -50,6 +50,8 @@
 			     away; below 0: it was not */
 	uint64_t since; /**< of ASK and STATE: changes after it */
 	bool whole;	/**< of STATE: keys that are not named are gone */
+	str_t origin;	/**< of STATE: who read it from the registry, where it
+			     is to be passed on; else empty */
 	str_t server;	/**< of PACE: its id */
 	uint64_t pace;	/**< of PACE: its time over the usual, thousandths */
 	uint64_t failing; /**< of PACE: share that fails, thousandths */
@@ -133,6 +135,16 @@
 usec_t fleet_next(const fleet_t *f);
 /** Whom to push changes to: members of the own data centre. */
 size_t fleet_followers(const fleet_t *f, str_t *to, size_t max, usec_t now);
+/** Whether a change of so many bytes is passed on from host to host. */
+bool fleet_relays(const fleet_t *f, size_t bytes, usec_t now);
+/** Whom this daemon passes on a change to that a daemon began to spread. */
+size_t fleet_relay(const fleet_t *f, str_t origin, str_t *to, size_t max,
+		   usec_t now);
+/**
+ * Whether a host that is behind gets an answer of so many bytes now; counts it.
+ * Many may ask at once: who gets none asks another.
+ */
+bool fleet_may_answer(fleet_t *f, size_t bytes, usec_t now);
 /**
  * Somebody who knows more than this revision, or who may while the registry
  * is silent; empty if there is nobody to ask.
--- a/fleet/fleet_member.c
+++ b/fleet/fleet_member.c
@@ -7,7 +7,7 @@
  */
 #include <stdlib.h>
 
-#include "fleet.h"
+#include "libfleet.h"
 
 #define GREET_EARLY (300 * USEC_PER_MSEC) /* while few are known */
 /* Four of them fit into ALIVE_TIME, so that one lost message does not count. */
@@ -30,38 +30,13 @@
 #define NEXT_PART 0.07
 /* Keeps a follower from changing to and fro. */
 #define READ_AT_LEAST (3 * USEC_PER_SEC)
+/* Part of the same time: a change that goes on from host to host is waited for
+ * so long before somebody is asked for it. */
+#define BEHIND_PART 0.2
 /* Above the 2,600 hosts of the size to design for. */
 #define MAX_MEMBERS 4096
 
-typedef struct member {
-	str_t addr; /* owned */
-	str_t dc;   /* owned */
-	usec_t heard_at;
-	uint64_t rank;	   /* order of readers, the least reads first */
-	uint64_t revision; /* of what it knew when heard of directly */
-} member_t;
-
-struct fleet {
-	str_t addr; /* owned */
-	str_t dc;   /* owned */
-	str_t *seeds;
-	size_t nseeds;
-	unsigned hosts;
-	usec_t apply_time; /* what is published must be in force by then */
-	rng_t rng;
-	member_t *v;
-	size_t n;
-	usec_t started_at;
-	usec_t greet_at;
-	usec_t read_at;	  /* last answer of the registry; 0: never */
-	usec_t word_at;	  /* a reader's state was confirmed then; 0: never */
-	usec_t before_at; /* the same of one that goes before this host */
-	usec_t own_until; /* reads for itself until then */
-	unsigned most;
-	usec_t most_at;
-};
-
-static uint64_t rank_of(str_t addr)
+uint64_t fleet_rank(str_t addr)
 {
 	return str_hash(addr, 1);
 }
@@ -131,13 +106,13 @@
 		m = &f->v[f->n++];
 		*m = (member_t){ .addr = str_dup(addr),
 				 .dc = str_dup(dc),
-				 .rank = rank_of(addr) };
+				 .rank = fleet_rank(addr) };
 	}
 	if (at > m->heard_at)
 		m->heard_at = at;
 }
 
-static bool is_alive(const member_t *m, usec_t now)
+bool fleet_member_alive(const member_t *m, usec_t now)
 {
 	return now - m->heard_at < ALIVE_TIME;
 }
@@ -171,7 +146,7 @@
 {
 	if (at > f->word_at)
 		f->word_at = at;
-	if (at > f->before_at && rank_of(m->from) < rank_of(f->addr))
+	if (at > f->before_at && fleet_rank(m->from) < fleet_rank(f->addr))
 		f->before_at = at;
 }
 
@@ -207,7 +182,7 @@
 	size_t n = 1, i;
 
 	for (i = 0; i < f->n; i++)
-		n += is_alive(&f->v[i], now);
+		n += fleet_member_alive(&f->v[i], now);
 	return n;
 }
 
@@ -226,15 +201,15 @@
 	return f->most;
 }
 
-/* Members of the own data centre, and how many go before this one. */
-static size_t neighbours(const fleet_t *f, size_t *before, usec_t now)
+size_t fleet_neighbours(const fleet_t *f, size_t *before, usec_t now)
 {
-	uint64_t own = rank_of(f->addr);
+	uint64_t own = fleet_rank(f->addr);
 	size_t n = 0, i;
 
 	*before = 0;
 	for (i = 0; i < f->n; i++) {
-		if (!is_alive(&f->v[i], now) || !str_eq(f->v[i].dc, f->dc))
+		if (!fleet_member_alive(&f->v[i], now) ||
+		    !str_eq(f->v[i].dc, f->dc))
 			continue;
 		n++;
 		*before += f->v[i].rank < own;
@@ -242,23 +217,23 @@
 	return n;
 }
 
-static usec_t part_of(const fleet_t *f, double part)
+usec_t fleet_part(const fleet_t *f, double part)
 {
 	return (usec_t)(part * (double)f->apply_time);
 }
 
 bool fleet_should_read(fleet_t *f, usec_t now)
 {
-	size_t before, n = neighbours(f, &before, now);
+	size_t before, n = fleet_neighbours(f, &before, now);
 	usec_t age = fleet_age(f, now), patience;
 
 	if (n + 1 < FOLLOW_MIN || before == 0)
 		return true;
-	patience = part_of(f, WORD_PART + NEXT_PART * (double)(before - 1));
+	patience = fleet_part(f, WORD_PART + NEXT_PART * (double)(before - 1));
 	if (age < 0 || age > patience)
 		f->own_until = now + READ_AT_LEAST;
 	/* Who took over goes on until somebody before it is heard again. */
-	if (now < f->own_until && now - f->before_at > part_of(f, WORD_PART))
+	if (now < f->own_until && now - f->before_at > fleet_part(f, WORD_PART))
 		f->own_until = now + READ_AT_LEAST;
 	return now < f->own_until;
 }
@@ -267,7 +242,7 @@
 {
 	size_t before;
 
-	if (neighbours(f, &before, now) + 1 < FOLLOW_MIN)
+	if (fleet_neighbours(f, &before, now) + 1 < FOLLOW_MIN)
 		return false;
 	/* At the start nobody was heard yet, and every host reads. */
 	return before == 0 ||
@@ -292,7 +267,8 @@
 	for (i = 0; i < f->n; i++) {
 		const member_t *m = &f->v[(first + i) % f->n];
 
-		if (is_alive(m, now) && str_eq(m->dc, f->dc) == same_dc)
+		if (fleet_member_alive(m, now) &&
+		    str_eq(m->dc, f->dc) == same_dc)
 			return m;
 	}
 	return NULL;
@@ -335,26 +311,61 @@
 	size_t n = 0, i;
 
 	for (i = 0; i < f->n && n < max; i++)
-		if (is_alive(&f->v[i], now) && str_eq(f->v[i].dc, f->dc))
+		if (fleet_member_alive(&f->v[i], now) &&
+		    str_eq(f->v[i].dc, f->dc))
 			to[n++] = f->v[i].addr;
 	return n;
 }
 
-str_t fleet_ask(fleet_t *f, uint64_t revision, bool silent, usec_t now)
+/* Of those who know more, one of the own data centre if there is any: a random
+ * one, since all who are behind ask at the same time. */
+static const member_t *who_knows(fleet_t *f, uint64_t revision, usec_t now)
 {
-	const member_t *best = NULL, *m;
+	const member_t *best = NULL;
+	bool near_best = false;
+	uint64_t n = 0;
 	size_t i;
 
 	for (i = 0; i < f->n; i++) {
-		m = &f->v[i];
-		if (!is_alive(m, now) || m->revision <= revision)
+		const member_t *m = &f->v[i];
+		bool near = str_eq(m->dc, f->dc);
+
+		if (!fleet_member_alive(m, now) || m->revision <= revision ||
+		    near < near_best)
 			continue;
-		if (!best || str_eq(m->dc, f->dc) > str_eq(best->dc, f->dc))
+		if (near > near_best)
+			n = 0;
+		near_best = near;
+		if (rng_below(&f->rng, ++n) == 0)
 			best = m;
 	}
-	if (!best && silent)
-		best = random_member(f, rng_below(&f->rng, 2), now);
-	return best ? best->addr : STR("");
+	return best;
+}
+
+/* Whether a change may still be on its way from host to host. */
+static bool may_come(fleet_t *f, uint64_t revision, usec_t now)
+{
+	size_t before;
+
+	if (!f->behind_at || f->behind_with != revision) {
+		f->behind_at = now;
+		f->behind_with = revision;
+	}
+	return fleet_neighbours(f, &before, now) + 1 >= FOLLOW_MIN &&
+	       now - f->behind_at < fleet_part(f, BEHIND_PART);
+}
+
+str_t fleet_ask(fleet_t *f, uint64_t revision, bool silent, usec_t now)
+{
+	const member_t *m = who_knows(f, revision, now);
+
+	if (!m)
+		f->behind_at = 0;
+	else if (may_come(f, revision, now))
+		m = NULL;
+	if (!m && silent)
+		m = random_member(f, rng_below(&f->rng, 2), now);
+	return m ? m->addr : STR("");
 }
 
 void fleet_tell(fleet_t *f, fleet_msg_t *m, uint64_t revision, usec_t now)
@@ -372,7 +383,7 @@
 	for (i = 0; i < f->n && m->ntold < FLEET_MAX_TOLD; i++) {
 		const member_t *o = &f->v[(first + i) % f->n];
 
-		if (is_alive(o, now))
+		if (fleet_member_alive(o, now))
 			m->told[m->ntold++] =
 				(fleet_told_t){ o->addr, o->dc,
 						now - o->heard_at };
--- a/fleet/fleet_wire.c
+++ b/fleet/fleet_wire.c
@@ -1,8 +1,8 @@
 /**
  * @file fleet_wire.c
  * Messages as bytes: one msgpack array of version, kind, sender, revision,
- * age, since when the registry is back, a server's pace, members told of, and
- * items.
+ * age, since when the registry is back, a server's pace, members told of,
+ * items, and who began to spread them.
  */
 #include <msgpack.h>
 #include <stdlib.h>
@@ -11,8 +11,8 @@
 #include "fleet.h"
 #include "wire.h"
 
-#define VERSION 2
-#define MEMBERS 13 /* of the outer array */
+#define VERSION 3
+#define MEMBERS 14 /* of the outer array */
 #define MAX_ITEMS 100000
 
 static void pack_str(msgpack_packer *pk, str_t v)
@@ -68,6 +68,7 @@
 	msgpack_pack_uint64(&pk, m->failing);
 	pack_told(&pk, m);
 	pack_items(&pk, m);
+	pack_str(&pk, m->origin);
 	*sz = buf.size;
 	return msgpack_sbuffer_release(&buf);
 }
@@ -163,7 +164,7 @@
 	m->since >>= 1;
 	return get_str(&at[8], &m->server, mem) && get_u64(&at[9], &m->pace) &&
 	       get_u64(&at[10], &m->failing) && get_told(&at[11], m, mem) &&
-	       get_items(&at[12], m, mem);
+	       get_items(&at[12], m, mem) && get_str(&at[13], &m->origin, mem);
 }
 
 bool fleet_decode(const char *bytes, size_t sz, fleet_msg_t *m, arena_t *mem)
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -15,5 +15,6 @@
 void unit_registry(void);
 void unit_outside(void);
 void unit_state(void);
+void unit_relay(void);
 
 #endif
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -20,6 +20,7 @@
 	unit_registry();
 	unit_outside();
 	unit_state();
+	unit_relay();
 	unit_walk();
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
