What a neighbour that is behind tells brings no server back

A daemon that started while servers leave could send to one that had gone, for as long as it ran.

Cause: the state took any key that it did not know. A daemon that has listed the registry knows nothing of a server that was removed before, and a neighbour that is behind still tells of it (an answer to the first question of a start arrives after the list). Its removal lies before the own revision, so that neither the registry nor anybody else tells of it again.

Evidence: unit test, red before in three rows (a whole and two parts from before the list), green after; the rows of news that arrive early stay green.

Change: each word says for which revision it holds. A key that is not known, last changed at or before the own revision, told by a source that holds for less than that revision, is gone. Why it suffices: up to the own revision all keys that live are known, by list, by watch or by a neighbour's part since before it.

--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -114,7 +114,8 @@
 				 &(fleet_item_t){ items->v[i].key,
 						  items->v[i].value,
 						  items->v[i].revision,
-						  items->v[i].deleted });
+						  items->v[i].deleted },
+				 items->revision);
 }
 
 static void take_list(store_t *s, const outside_items_t *items)
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -79,8 +79,11 @@
 void fleet_state_free(fleet_state_t *s);
 /** The revision that it holds for; 0 when nothing is known. */
 uint64_t fleet_state_revision(const fleet_state_t *s);
-/** Takes one key; what is older than what is known is left out. */
-void fleet_state_take(fleet_state_t *s, const fleet_item_t *it);
+/**
+ * Takes one key from a source whose word holds for a revision; what is older
+ * than what is known is left out.
+ */
+void fleet_state_take(fleet_state_t *s, const fleet_item_t *it, uint64_t as_of);
 /** A whole list begins: what is not taken until its end is deleted. */
 void fleet_state_list_begin(fleet_state_t *s);
 /** The list ends; it holds for a revision. */
--- a/fleet/fleet_state.c
+++ b/fleet/fleet_state.c
@@ -101,10 +101,21 @@
 	s->ndeleted = 0;
 }
 
-void fleet_state_take(fleet_state_t *s, const fleet_item_t *it)
+/* Whether a key that is not known is known to be gone: whoever told of it tells
+ * of an earlier revision than the one up to which all keys are known. */
+static bool is_past(const fleet_state_t *s, const fleet_item_t *it,
+		    uint64_t as_of)
+{
+	return as_of < s->revision && it->revision <= s->revision &&
+	       !strmap_get(&s->by_key, it->key);
+}
+
+void fleet_state_take(fleet_state_t *s, const fleet_item_t *it, uint64_t as_of)
 {
 	entry_t *e;
 
+	if (is_past(s, it, as_of))
+		return;
 	/* A deletion of what is not known is still told to others. */
 	if (it->deleted && it->revision <= s->floor)
 		return;
@@ -170,7 +181,7 @@
 	if (m->whole)
 		fleet_state_list_begin(s);
 	for (i = 0; i < m->nitems; i++)
-		fleet_state_take(s, &m->items[i]);
+		fleet_state_take(s, &m->items[i], m->revision);
 	if (m->whole)
 		fleet_state_list_end(s, m->revision);
 	else if (m->since <= known)
--- a/tests/unit_outside.c
+++ b/tests/unit_outside.c
@@ -377,7 +377,7 @@
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		before = n;
-		fleet_state_take(s, &cases[i].it);
+		fleet_state_take(s, &cases[i].it, 8);
 		CU_ASSERT_EQUAL(n - before, cases[i].changes);
 	}
 	fleet_state_reached(s, 8);
--- a/tests/unit_state.c
+++ b/tests/unit_state.c
@@ -51,14 +51,30 @@
 {
 	fleet_state_list_begin(h->state);
 	for (; *keys; keys += 2)
-		fleet_state_take(
-			h->state,
-			&(fleet_item_t){ .key = { keys, 1 },
-					 .revision =
-						 (uint64_t)(keys[1] - '0') });
+		fleet_state_take(h->state,
+				 &(fleet_item_t){
+					 .key = { keys, 1 },
+					 .revision = (uint64_t)(keys[1] - '0'),
+				 },
+				 revision);
 	fleet_state_list_end(h->state, revision);
 }
 
+/* Takes a neighbour's word of keys, written as for list(). */
+static void tell(holder_t *h, const char *keys, uint64_t revision, bool whole)
+{
+	fleet_item_t items[KEYS] = { 0 };
+	fleet_msg_t m = { .kind = FLEET_STATE, .items = items };
+
+	m.whole = whole;
+	m.revision = revision;
+	for (; *keys; keys += 2)
+		items[m.nitems++] =
+			(fleet_item_t){ .key = { keys, 1 },
+					.revision = (uint64_t)(keys[1] - '0') };
+	fleet_state_told(h->state, &m);
+}
+
 /* One asks the other, and takes the answer; tells whether it was whole. */
 static bool ask(holder_t *h, holder_t *other)
 {
@@ -120,7 +136,7 @@
 
 	list(h, "a1b2", 2);
 	list(other, "a1b2", 2);
-	fleet_state_take(other->state, &gone);
+	fleet_state_take(other->state, &gone, 4);
 	fleet_state_reached(other->state, 4);
 	CU_ASSERT_FALSE(ask(h, other));
 	CU_ASSERT_FALSE(h->alive[0]);
@@ -130,6 +146,42 @@
 	holder_free(other);
 }
 
+/*
+ * A neighbour that is behind tells of a server that left before this daemon
+ * listed the registry: it is known to be gone, although nothing is known of it.
+ */
+static void test_told_of_the_past(void)
+{
+	static const struct {
+		const char *list; /* the own one */
+		uint64_t list_at;
+		const char *told;
+		uint64_t told_at; /* the neighbour's revision */
+		bool whole;
+		int key; /* looked at */
+		bool alive;
+	} cases[] = {
+		{ "b2", 5, "a1b2", 3, true, 0, false },
+		{ "b2", 5, "a1", 3, false, 0, false },
+		{ "b2", 5, "a4", 4, false, 0, false },
+		{ "b2", 5, "c6", 6, false, 2, true },
+		/* What comes after the list may begin before it is taken. */
+		{ "b2", 5, "a1b2c6", 7, true, 2, true },
+		{ "b2", 5, "b4", 4, false, 1, true },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		holder_t *h = holder_new();
+
+		list(h, cases[i].list, cases[i].list_at);
+		tell(h, cases[i].told, cases[i].told_at, cases[i].whole);
+		CU_ASSERT_EQUAL(h->alive[cases[i].key], cases[i].alive);
+		CU_ASSERT_TRUE(h->alive[1]);
+		holder_free(h);
+	}
+}
+
 void unit_state(void)
 {
 	CU_pSuite s = CU_add_suite("state", NULL, NULL);
@@ -137,4 +189,5 @@
 	CU_add_test(s, "a deletion from before a list",
 		    test_deletion_before_list);
 	CU_add_test(s, "a deletion that was watched", test_deletion_watched);
+	CU_add_test(s, "a neighbour that is behind", test_told_of_the_past);
 }
