Lists of several pages: each page has its age, wholes come between them

With more than about 500 entries a daemon could lose servers that live, or keep one that is gone, until the entry changes again.

Cause: two things about lists that are read page by page. Serializable pages may be seconds old, each by its own time, but the list was taken to hold for its first page: what changed between an older second page and the first was never asked for. And a neighbour's whole that came between two pages cleared the marks of the pages before it, so that the list's end deleted what they had named.

Change: a list holds for its earliest page; the watch brings the rest. Lists and wholes mark entries apart. The pages are taken in fleet/, not in the loop.

--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -34,8 +34,7 @@
 	bool up;	 /* the last call was answered */
 	bool confirming; /* the call began after the process stood still */
 	usec_t backoff;
-	uint64_t list_from; /* revision of the list's first page */
-	str_t after;	    /* owned; last key of the page before */
+	str_t after; /* owned; last key of the page before */
 };
 
 static void call(store_t *s);
@@ -107,25 +106,27 @@
 
 static void take_items(store_t *s, const outside_items_t *items)
 {
+	fleet_state_t *state = s->e->state;
 	size_t i;
 
-	for (i = 0; i < items->n; i++)
-		fleet_state_take(s->e->state,
-				 &(fleet_item_t){ items->v[i].key,
-						  items->v[i].value,
-						  items->v[i].revision,
-						  items->v[i].deleted },
-				 items->revision);
+	for (i = 0; i < items->n; i++) {
+		fleet_item_t it = { items->v[i].key, items->v[i].value,
+				    items->v[i].revision, items->v[i].deleted };
+
+		if (s->listing)
+			fleet_state_list_take(state, &it);
+		else
+			fleet_state_take(state, &it, items->revision);
+	}
 }
 
 static void take_list(store_t *s, const outside_items_t *items)
 {
 	fleet_state_t *state = s->e->state;
 
-	if (s->after.sz == 0) {
-		s->list_from = items->revision;
+	if (s->after.sz == 0)
 		fleet_state_list_begin(state);
-	}
+	fleet_state_list_page(state, items->revision);
 	take_items(s, items);
 	str_free(s->after);
 	s->after = (str_t){ 0 };
@@ -133,9 +134,7 @@
 		s->after = str_dup(items->v[items->n - 1].key);
 		return;
 	}
-	/* Pages are read one after the other: changes since the first one
-	 * are asked for again. */
-	fleet_state_list_end(state, s->list_from);
+	fleet_state_list_end(state);
 	s->listing = false;
 }
 
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -84,10 +84,15 @@
  * than what is known is left out.
  */
 void fleet_state_take(fleet_state_t *s, const fleet_item_t *it, uint64_t as_of);
-/** A whole list begins: what is not taken until its end is deleted. */
+/** A list of the registry begins: what it does not name by its end is deleted.
+ */
 void fleet_state_list_begin(fleet_state_t *s);
-/** The list ends; it holds for a revision. */
-void fleet_state_list_end(fleet_state_t *s, uint64_t revision);
+/** A page of the list begins, which holds for a revision. */
+void fleet_state_list_page(fleet_state_t *s, uint64_t as_of);
+/** Takes a key of the page. */
+void fleet_state_list_take(fleet_state_t *s, const fleet_item_t *it);
+/** The list ends; all of it holds for its earliest page. */
+void fleet_state_list_end(fleet_state_t *s);
 /** All changes up to a revision are taken. */
 void fleet_state_reached(fleet_state_t *s, uint64_t revision);
 /** Takes what a neighbour tells in a FLEET_STATE. */
--- a/fleet/fleet_state.c
+++ b/fleet/fleet_state.c
@@ -10,12 +10,16 @@
 
 #define MAX_DELETED 4096 /* deleted keys that are kept for others */
 
+/* Two wholes may be read at once: a list page by page, and a message. */
+#define MARK_LISTED 1u
+#define MARK_TOLD 2u
+
 typedef struct entry {
 	str_t key;   /* owned */
 	str_t value; /* owned */
 	uint64_t revision;
 	bool deleted;
-	bool listed;
+	unsigned marks; /* wholes that name it, MARK_* */
 } entry_t;
 
 struct fleet_state {
@@ -27,7 +31,9 @@
 	size_t ndeleted;
 	strmap_t by_key;
 	uint64_t revision;
-	uint64_t floor; /* deletions up to it may not be known */
+	uint64_t floor;	     /* deletions up to it may not be known */
+	uint64_t page_as_of; /* of the list's last page */
+	uint64_t list_as_of; /* of its earliest page */
 };
 
 fleet_state_t *fleet_state_new(fleet_changed_t fn, void *arg)
@@ -120,7 +126,6 @@
 	if (it->deleted && it->revision <= s->floor)
 		return;
 	e = entry_get(s, it->key);
-	e->listed = true;
 	if (e->revision >= it->revision)
 		return;
 	e->revision = it->revision;
@@ -134,24 +139,36 @@
 	s->changed(s->arg, it);
 }
 
-void fleet_state_list_begin(fleet_state_t *s)
+static void unmark(fleet_state_t *s, unsigned mark)
 {
 	size_t i;
 
 	for (i = 0; i < s->n; i++)
-		s->v[i]->listed = false;
+		s->v[i]->marks &= ~mark;
 }
 
-void fleet_state_list_end(fleet_state_t *s, uint64_t revision)
+static void take_marked(fleet_state_t *s, const fleet_item_t *it,
+			uint64_t as_of, unsigned mark)
+{
+	entry_t *e;
+
+	fleet_state_take(s, it, as_of);
+	e = strmap_get(&s->by_key, it->key);
+	if (e)
+		e->marks |= mark;
+}
+
+/* A whole ends: what it does not name was deleted by its revision. */
+static void delete_unmarked(fleet_state_t *s, uint64_t revision, unsigned mark)
 {
 	fleet_item_t it = { .deleted = true, .revision = revision };
 	entry_t *e;
 	size_t i;
 
-	/* A list from before a key's last change tells nothing of it. */
+	/* One from before a key's last change tells nothing of it. */
 	for (i = 0; i < s->n; i++) {
 		e = s->v[i];
-		if (e->listed || e->deleted || e->revision >= revision)
+		if (e->marks & mark || e->deleted || e->revision >= revision)
 			continue;
 		it.key = e->key;
 		e->revision = revision;
@@ -161,12 +178,35 @@
 		s->ndeleted++;
 		s->changed(s->arg, &it);
 	}
-	/* A list names no key that came and went since the last one. */
+	/* It names no key that came and went since the last one. */
 	if (revision > s->revision && revision > s->floor)
 		s->floor = revision;
 	fleet_state_reached(s, revision);
 }
 
+void fleet_state_list_begin(fleet_state_t *s)
+{
+	s->list_as_of = UINT64_MAX;
+	unmark(s, MARK_LISTED);
+}
+
+void fleet_state_list_page(fleet_state_t *s, uint64_t as_of)
+{
+	s->page_as_of = as_of;
+	if (as_of < s->list_as_of)
+		s->list_as_of = as_of;
+}
+
+void fleet_state_list_take(fleet_state_t *s, const fleet_item_t *it)
+{
+	take_marked(s, it, s->page_as_of, MARK_LISTED);
+}
+
+void fleet_state_list_end(fleet_state_t *s)
+{
+	delete_unmarked(s, s->list_as_of, MARK_LISTED);
+}
+
 void fleet_state_reached(fleet_state_t *s, uint64_t revision)
 {
 	if (revision > s->revision)
@@ -179,11 +219,11 @@
 	size_t i;
 
 	if (m->whole)
-		fleet_state_list_begin(s);
+		unmark(s, MARK_TOLD);
 	for (i = 0; i < m->nitems; i++)
-		fleet_state_take(s, &m->items[i], m->revision);
+		take_marked(s, &m->items[i], m->revision, MARK_TOLD);
 	if (m->whole)
-		fleet_state_list_end(s, m->revision);
+		delete_unmarked(s, m->revision, MARK_TOLD);
 	else if (m->since <= known)
 		fleet_state_reached(s, m->revision);
 }
--- a/tests/unit_outside.c
+++ b/tests/unit_outside.c
@@ -387,7 +387,8 @@
 	/* An old list does not delete what was written after it. */
 	n = 0;
 	fleet_state_list_begin(s);
-	fleet_state_list_end(s, 8);
+	fleet_state_list_page(s, 8);
+	fleet_state_list_end(s);
 	CU_ASSERT_EQUAL(n, 100);
 	CU_ASSERT_EQUAL(fleet_state_revision(s), 8);
 	arena_free(&mem);
--- a/tests/unit_state.c
+++ b/tests/unit_state.c
@@ -43,21 +43,25 @@
 	free(h);
 }
 
-/*
- * Takes a registry's list: letters of the keys, each with its revision as a
- * digit after it.
- */
+/* Takes a page of a list: letters of the keys, each with its revision as a
+ * digit after it. */
+static void list_page(holder_t *h, const char *keys, uint64_t revision)
+{
+	fleet_state_list_page(h->state, revision);
+	for (; *keys; keys += 2)
+		fleet_state_list_take(
+			h->state,
+			&(fleet_item_t){ .key = { keys, 1 },
+					 .revision =
+						 (uint64_t)(keys[1] - '0') });
+}
+
+/* Takes a registry's list of one page. */
 static void list(holder_t *h, const char *keys, uint64_t revision)
 {
 	fleet_state_list_begin(h->state);
-	for (; *keys; keys += 2)
-		fleet_state_take(h->state,
-				 &(fleet_item_t){
-					 .key = { keys, 1 },
-					 .revision = (uint64_t)(keys[1] - '0'),
-				 },
-				 revision);
-	fleet_state_list_end(h->state, revision);
+	list_page(h, keys, revision);
+	fleet_state_list_end(h->state);
 }
 
 /* Takes a neighbour's word of keys, written as for list(). */
@@ -182,6 +186,54 @@
 	}
 }
 
+/*
+ * A list is read page by page, each of its own age, and a neighbour's whole may
+ * come between two pages: what either names lives.
+ */
+static void test_pages(void)
+{
+	static const struct {
+		const char *first;
+		uint64_t first_at;
+		const char *told; /* whole; NULL: none */
+		uint64_t told_at;
+		const char *second;
+		uint64_t second_at;
+		uint64_t revision; /* known afterwards */
+		bool alive[KEYS];
+	} cases[] = {
+		{ "a1", 5, NULL, 0, "e2", 7, 5, { [0] = true, [4] = true } },
+		{ "a1", 5, NULL, 0, "e2", 3, 3, { [0] = true, [4] = true } },
+		{ "a4", 5, "e2", 3, "e2", 5, 5, { [0] = true, [4] = true } },
+		{ "a1",
+		  5,
+		  "a1b2e2",
+		  3,
+		  "e2",
+		  5,
+		  5,
+		  { [0] = true, [4] = true } },
+		{ "a1", 3, "a1e4", 4, "f3", 3, 4, { [0] = true, [4] = true } },
+	};
+	size_t i, k;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		holder_t *h = holder_new();
+
+		fleet_state_list_begin(h->state);
+		list_page(h, cases[i].first, cases[i].first_at);
+		if (cases[i].told)
+			tell(h, cases[i].told, cases[i].told_at, true);
+		list_page(h, cases[i].second, cases[i].second_at);
+		fleet_state_list_end(h->state);
+		CU_ASSERT_EQUAL(fleet_state_revision(h->state),
+				cases[i].revision);
+		for (k = 0; k < KEYS; k++)
+			CU_ASSERT_EQUAL(h->alive[k], cases[i].alive[k]);
+		holder_free(h);
+	}
+}
+
 void unit_state(void)
 {
 	CU_pSuite s = CU_add_suite("state", NULL, NULL);
@@ -190,4 +242,5 @@
 		    test_deletion_before_list);
 	CU_add_test(s, "a deletion that was watched", test_deletion_watched);
 	CU_add_test(s, "a neighbour that is behind", test_told_of_the_past);
+	CU_add_test(s, "pages and wholes between them", test_pages);
 }
