A deletion in a neighbour's whole does not keep the key

A daemon could keep sending to a server that left, came back under its id and left again.

Cause: a whole names deletions too, so that they are passed on. One that was older than what the receiver knew was left out, but it marked the key as named, and the end of the whole, which should have deleted it, passed it over. A sender that lists the registry before and after the second life knows the first deletion only.

Change: only what lives is named by a whole.

--- a/fleet/fleet_state.c
+++ b/fleet/fleet_state.c
@@ -154,7 +154,8 @@
 
 	fleet_state_take(s, it, as_of);
 	e = strmap_get(&s->by_key, it->key);
-	if (e)
+	/* A deletion may be older than a life in between that was missed. */
+	if (e && !it->deleted)
 		e->marks |= mark;
 }
 
--- a/tests/unit_state.c
+++ b/tests/unit_state.c
@@ -132,6 +132,25 @@
 	}
 }
 
+/*
+ * A server leaves, comes back under its id and leaves again; one who missed the
+ * life in between tells of the first deletion only, in a whole.
+ */
+static void test_missed_life(void)
+{
+	holder_t *h = holder_new(), *other = holder_new();
+
+	list(other, "a1b2", 2);
+	list(other, "b2", 3);
+	list(h, "a4b2", 4);
+	list(other, "b2", 6);
+	CU_ASSERT_TRUE(ask(h, other));
+	CU_ASSERT_FALSE(h->alive[0]);
+	CU_ASSERT_TRUE(h->alive[1]);
+	holder_free(h);
+	holder_free(other);
+}
+
 /* What was deleted while it was watched is told as such, not as a whole. */
 static void test_deletion_watched(void)
 {
@@ -240,6 +259,7 @@
 
 	CU_add_test(s, "a deletion from before a list",
 		    test_deletion_before_list);
+	CU_add_test(s, "a life that was missed", test_missed_life);
 	CU_add_test(s, "a deletion that was watched", test_deletion_watched);
 	CU_add_test(s, "a neighbour that is behind", test_told_of_the_past);
 	CU_add_test(s, "pages and wholes between them", test_pages);
