A word from the past tells nothing new of any key

A daemon could send to a server for good that had gone: it knew of a first deletion, and took a neighbour's late word of a second life that had ended before its own list.

Cause: words that hold for less than the own revision were left out for unknown keys only. A key that is known as deleted, by an older deletion, is the same case.

Change: up to the own revision everything is known, so that a word that holds for an earlier one is left out for all keys last changed by then.

The walks (tests/unit_state.c) play a registry that changes, forgets its history and answers lists by pages from the past, with four daemons that list, watch, restart and tell each other late; each daemon knows of each key whether it lived at the revision that it holds for.

--- a/fleet/fleet_state.c
+++ b/fleet/fleet_state.c
@@ -107,13 +107,13 @@
 	s->ndeleted = 0;
 }
 
-/* Whether a key that is not known is known to be gone: whoever told of it tells
- * of an earlier revision than the one up to which all keys are known. */
+/* Up to the own revision everything is known: a word that holds for an earlier
+ * one can tell nothing new of that time, not even of keys that are not known
+ * here, which are gone. */
 static bool is_past(const fleet_state_t *s, const fleet_item_t *it,
 		    uint64_t as_of)
 {
-	return as_of < s->revision && it->revision <= s->revision &&
-	       !strmap_get(&s->by_key, it->key);
+	return as_of < s->revision && it->revision <= s->revision;
 }
 
 void fleet_state_take(fleet_state_t *s, const fleet_item_t *it, uint64_t as_of)
--- a/tests/unit_state.c
+++ b/tests/unit_state.c
@@ -176,27 +176,35 @@
 static void test_told_of_the_past(void)
 {
 	static const struct {
-		const char *list; /* the own one */
+		const char *first; /* an earlier list, at 2; NULL: none */
+		const char *list;
 		uint64_t list_at;
 		const char *told;
 		uint64_t told_at; /* the neighbour's revision */
+		int key;	  /* looked at */
 		bool whole;
-		int key; /* looked at */
 		bool alive;
 	} cases[] = {
-		{ "b2", 5, "a1b2", 3, true, 0, false },
-		{ "b2", 5, "a1", 3, false, 0, false },
-		{ "b2", 5, "a4", 4, false, 0, false },
-		{ "b2", 5, "c6", 6, false, 2, true },
+		{ NULL, "b2", 5, "a1b2", 3, 0, true, false },
+		{ NULL, "b2", 5, "a1", 3, 0, false, false },
+		{ NULL, "b2", 5, "a4", 4, 0, false, false },
+		{ NULL, "b2", 5, "c6", 6, 2, false, true },
 		/* What comes after the list may begin before it is taken. */
-		{ "b2", 5, "a1b2c6", 7, true, 2, true },
-		{ "b2", 5, "b4", 4, false, 1, true },
+		{ NULL, "b2", 5, "a1b2c6", 7, 2, true, true },
+		{ NULL, "b2", 5, "b4", 4, 1, false, true },
+		/* It came and went once more behind lists that lack it. */
+		{ "a1b2", "b2", 5, "a4", 4, 0, false, false },
+		{ "a1b2", "b2", 3, "a4", 4, 0, false, true },
 	};
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		holder_t *h = holder_new();
 
+		if (cases[i].first) {
+			list(h, cases[i].first, 2);
+			list(h, "b2", 3);
+		}
 		list(h, cases[i].list, cases[i].list_at);
 		tell(h, cases[i].told, cases[i].told_at, cases[i].whole);
 		CU_ASSERT_EQUAL(h->alive[cases[i].key], cases[i].alive);
@@ -253,6 +261,237 @@
 	}
 }
 
+/*
+ * Seeded walks: a registry that changes, loses its history and answers lists
+ * page by page, at times from the past; daemons that list, watch, restart, and
+ * tell each other, late. A daemon that holds for a revision knows of each key
+ * whether it lived then.
+ */
+
+#define WALKS 400
+#define WALK_STEPS 400
+#define HOLDERS 4
+#define MAX_CHANGES 400
+#define MAX_LATE 16
+#define PAGE_KEYS (KEYS / 2)
+
+/* One change of the registry; its revision is its index. */
+typedef struct change {
+	int key;
+	bool deleted;
+} change_t;
+
+typedef struct late {
+	fleet_msg_t m;
+	arena_t mem;
+	int to;
+} late_t;
+
+typedef struct walk {
+	rng_t rng;
+	change_t log[MAX_CHANGES];
+	uint64_t revision;
+	uint64_t lost; /* history before it is gone */
+	holder_t *h[HOLDERS];
+	int page[HOLDERS]; /* of a list; -1: none is read */
+	late_t late[MAX_LATE];
+	size_t nlate;
+	unsigned faults;
+} walk_t;
+
+static const char *const names[KEYS] = {
+	"a", "b", "c", "d", "e", "f", "g", "h"
+};
+
+/* The last change of a key up to a revision; 0: none. */
+static uint64_t last_change(const walk_t *w, int key, uint64_t revision)
+{
+	for (; revision > 0 && w->log[revision].key != key; revision--)
+		;
+	return revision;
+}
+
+static void walk_change(walk_t *w)
+{
+	int key = (int)rng_below(&w->rng, KEYS);
+	uint64_t last = last_change(w, key, w->revision);
+	bool alive = last && !w->log[last].deleted;
+
+	if (w->revision + 1 == MAX_CHANGES)
+		return;
+	w->log[++w->revision] =
+		(change_t){ key, alive && rng_below(&w->rng, 2) };
+}
+
+/* One page of a list; it may be some revisions old. */
+static void walk_page(walk_t *w, int i)
+{
+	fleet_state_t *s = w->h[i]->state;
+	uint64_t at = w->revision -
+		      rng_below(&w->rng, w->revision < 5 ? w->revision : 5);
+	int first = w->page[i] * PAGE_KEYS, key;
+
+	/* Only the first list may be served from the past. */
+	if (fleet_state_revision(s) > 0)
+		at = w->revision;
+	if (first == 0)
+		fleet_state_list_begin(s);
+	fleet_state_list_page(s, at);
+	for (key = first; key < first + PAGE_KEYS; key++) {
+		fleet_item_t it = { .key = str_of(names[key]) };
+
+		it.revision = last_change(w, key, at);
+		if (it.revision && !w->log[it.revision].deleted)
+			fleet_state_list_take(s, &it);
+	}
+	if (++w->page[i] * PAGE_KEYS < KEYS)
+		return;
+	fleet_state_list_end(s);
+	w->page[i] = -1;
+}
+
+static void walk_watch(walk_t *w, int i)
+{
+	fleet_state_t *s = w->h[i]->state;
+	uint64_t r = fleet_state_revision(s);
+
+	if (r < w->lost) {
+		w->page[i] = 0;
+		return;
+	}
+	while (++r <= w->revision) {
+		fleet_item_t it = { .revision = r };
+
+		it.key = str_of(names[w->log[r].key]);
+		it.deleted = w->log[r].deleted;
+		fleet_state_take(s, &it, w->revision);
+	}
+	fleet_state_reached(s, w->revision);
+}
+
+/* One tells another what changed since a revision; it arrives later. */
+static void walk_tell(walk_t *w, int from, int to)
+{
+	fleet_state_t *s = w->h[from]->state;
+	late_t *l = &w->late[w->nlate];
+
+	if (w->nlate == MAX_LATE)
+		return;
+	w->nlate++;
+	*l = (late_t){ .to = to, .m = { .kind = FLEET_STATE } };
+	l->m.since = fleet_state_revision(w->h[to]->state);
+	l->m.revision = fleet_state_revision(s);
+	/* A reader tells what it has just read, whoever hears it. */
+	if (l->m.since > l->m.revision || rng_below(&w->rng, 3) == 0)
+		l->m.since = rng_below(&w->rng, l->m.revision + 1);
+	fleet_state_since(s, &l->m, &l->mem);
+	/* Strings are borrowed from the state, which may change. */
+	for (size_t i = 0; i < l->m.nitems; i++)
+		l->m.items[i].key = str_of(names[l->m.items[i].key.s[0] - 'a']);
+}
+
+static void walk_deliver(walk_t *w)
+{
+	size_t i = rng_below(&w->rng, w->nlate);
+
+	fleet_state_told(w->h[w->late[i].to]->state, &w->late[i].m);
+	arena_free(&w->late[i].mem);
+	w->late[i] = w->late[--w->nlate];
+}
+
+/* Whether a key was deleted since; a late page of a list may tell so early. */
+static bool deleted_since(const walk_t *w, int key, uint64_t revision)
+{
+	for (; revision < w->revision; revision++)
+		if (w->log[revision + 1].key == key &&
+		    w->log[revision + 1].deleted)
+			return true;
+	return false;
+}
+
+static void walk_check(walk_t *w)
+{
+	int i, key;
+
+	for (i = 0; i < HOLDERS; i++) {
+		holder_t *h = w->h[i];
+		uint64_t r = fleet_state_revision(h->state);
+
+		for (key = 0; key < KEYS; key++) {
+			uint64_t last = last_change(w, key, r);
+			bool alive = last && !w->log[last].deleted;
+
+			/* It may know more than it holds for. */
+			if (h->revision[key] > r || h->alive[key] == alive ||
+			    (alive && deleted_since(w, key, r)))
+				continue;
+			w->faults++;
+		}
+	}
+}
+
+static void walk_step(walk_t *w)
+{
+	int i = (int)rng_below(&w->rng, HOLDERS);
+	int other = (i + 1 + (int)rng_below(&w->rng, HOLDERS - 1)) % HOLDERS;
+
+	switch (rng_below(&w->rng, 12)) {
+	case 0:
+		w->lost = w->revision;
+		break;
+	case 1:
+		holder_free(w->h[i]);
+		w->h[i] = holder_new();
+		w->page[i] = 0;
+		break;
+	case 2:
+	case 3:
+		walk_change(w);
+		break;
+	case 4:
+	case 5:
+		walk_tell(w, i, other);
+		break;
+	case 6:
+	case 7:
+		if (w->nlate)
+			walk_deliver(w);
+		break;
+	default:
+		if (w->page[i] >= 0)
+			walk_page(w, i);
+		else
+			walk_watch(w, i);
+	}
+	walk_check(w);
+}
+
+static void test_walks(void)
+{
+	uint64_t seed;
+	int i;
+
+	for (seed = 1; seed <= WALKS; seed++) {
+		walk_t *w = xcalloc(1, sizeof(*w));
+
+		w->rng.state = seed;
+		for (i = 0; i < HOLDERS; i++)
+			w->h[i] = holder_new();
+		walk_change(w);
+		for (i = 0; i < WALK_STEPS && !w->faults; i++)
+			walk_step(w);
+		if (w->faults)
+			fprintf(stderr, "  walk %llu: wrong after step %d\n",
+				(unsigned long long)seed, i);
+		CU_ASSERT_EQUAL(w->faults, 0);
+		while (w->nlate)
+			walk_deliver(w);
+		for (i = 0; i < HOLDERS; i++)
+			holder_free(w->h[i]);
+		free(w);
+	}
+}
+
 void unit_state(void)
 {
 	CU_pSuite s = CU_add_suite("state", NULL, NULL);
@@ -263,4 +502,5 @@
 	CU_add_test(s, "a deletion that was watched", test_deletion_watched);
 	CU_add_test(s, "a neighbour that is behind", test_told_of_the_past);
 	CU_add_test(s, "pages and wholes between them", test_pages);
+	CU_add_test(s, "walks", test_walks);
 }
