Refusals and Retry-After by the time that a shard's answers take now

Cause: the expected wait was the number ahead times the route's usual time. Where one server of three is left the answers of its shard take several times that; the usual time, a mean over all shards of the route, does not show it. Retry-After was the usual time too, not the wait.

Change: each service keeps the mean time of its last answers (an eighth each, no older than 2 s). A request's wait is what is ahead times the longer of both, and its own time. Retry-After is the time that it lacked: by then what waits has gone so far that one more would fit.

Test: "what some shards cannot serve in time is refused", two of four shards at 40, 150 and 300 ms; as many are admitted as a second holds. Red before in all rows.

--- a/route/libroute.h
+++ b/route/libroute.h
@@ -74,6 +74,8 @@
 	struct rt_shard *head; /* that wait, the first to go first */
 	struct rt_shard *tail;
 	size_t nwaiting;
+	usec_t took; /* mean time of its last answers, of any route; 0: none */
+	usec_t took_at;
 } rt_svc_t;
 
 /* A configuration with the services and statistics of its routes. */
@@ -124,6 +126,7 @@
 	usec_t deadline;
 	usec_t soft;	/* from then on an incomplete answer will do */
 	usec_t next_at; /* nothing is to be done for it before */
+	usec_t lacks; /* time that it would need more, by what waits; 0: none */
 	bool over;
 	size_t ndone;
 	size_t nfailed;
@@ -274,9 +277,11 @@
 void rt_wait_push(rt_t *rt, rt_shard_t *sh, usec_t now);
 void rt_wait_remove(rt_t *rt, rt_shard_t *sh);
 void rt_wait_drain(rt_t *rt, rt_svc_t *svc, usec_t now);
-/* How long a new request of that priority would wait. */
+/* Notes how long an answer of the service took. */
+void rt_wait_note(rt_svc_t *svc, usec_t took, usec_t now);
+/* When a new request of that priority would have its answer, from now on. */
 usec_t rt_wait_expected(const rt_t *rt, const rt_svc_t *svc,
-			const rt_query_t *q);
+			const rt_query_t *q, usec_t now);
 
 /* rt_shard.c */
 void rt_shard_start(rt_t *rt, rt_shard_t *sh, rt_why_t why, usec_t now);
--- a/route/rt_query.c
+++ b/route/rt_query.c
@@ -89,23 +89,21 @@
 	return false;
 }
 
-/* Shards that can answer at all, and the longest wait among them. */
-static size_t can_answer(const rt_t *rt, const rt_query_t *q, usec_t *wait)
+/* Shards that can answer in time; notes the most time that one lacks. */
+static size_t can_answer(const rt_t *rt, rt_query_t *q, usec_t now)
 {
 	size_t n = 0, i;
-	usec_t w;
+	usec_t lacks;
 
-	*wait = 0;
 	for (i = 0; i < q->nshards; i++) {
 		if (!service_alive(q->shards[i].svc))
 			continue;
-		w = rt_wait_expected(rt, q->shards[i].svc, q);
-		if (q->arrived + w + rt_stat_usual(q->stat) > q->deadline) {
-			if (w > *wait)
-				*wait = w;
-			continue;
-		}
-		n++;
+		lacks = now + rt_wait_expected(rt, q->shards[i].svc, q, now) -
+			q->deadline;
+		if (lacks <= 0)
+			n++;
+		else if (lacks > q->lacks)
+			q->lacks = lacks;
 	}
 	return n;
 }
@@ -215,6 +213,19 @@
 	q->next_at = now;
 }
 
+/* When it is worth while to come back. What waits now has gone so far by then
+ * that there is time enough for one more. */
+static usec_t retry_time(const rt_query_t *q, rt_why_t why)
+{
+	usec_t t = rt_stat_usual(q->stat);
+
+	if (why == RT_WHY_NO_SERVER)
+		return RETRY_NO_SERVER;
+	if (t < q->lacks)
+		t = q->lacks;
+	return t > RETRY_MIN ? t : RETRY_MIN;
+}
+
 static void answer_failure(rt_t *rt, rt_query_t *q, rt_why_t why, usec_t now)
 {
 	rt_answer_t a = { .why = why, .outcome = RT_OUT_UNKNOWN };
@@ -224,11 +235,7 @@
 		a.reply = q->shards[0].reply;
 	} else if (nothing_ran(q)) {
 		a.outcome = RT_OUT_NOT_RUN;
-		a.retry_after = why == RT_WHY_NO_SERVER
-					? RETRY_NO_SERVER
-					: rt_stat_usual(q->stat);
-		if (a.retry_after < RETRY_MIN)
-			a.retry_after = RETRY_MIN;
+		a.retry_after = retry_time(q, why);
 	} else if (why == RT_WHY_DEADLINE) {
 		a.outcome = RT_OUT_TIMEOUT;
 	}
@@ -315,7 +322,6 @@
 {
 	const rt_route_t *route;
 	rt_query_t *q;
-	usec_t wait;
 
 	rt->counters[RT_CNT_REQUESTS]++;
 	if (!rt->view) {
@@ -331,10 +337,11 @@
 	q = query_new(rt, r, route, now);
 	if (now >= q->deadline)
 		answer_failure(rt, q, RT_WHY_DEADLINE, now);
-	else if (can_answer(rt, q, &wait) >= least_shards(q))
+	else if (can_answer(rt, q, now) >= least_shards(q))
 		start_shards(rt, q, now);
 	else
-		answer_failure(rt, q, wait ? RT_WHY_OVERLOAD : RT_WHY_NO_SERVER,
+		answer_failure(rt, q,
+			       q->lacks ? RT_WHY_OVERLOAD : RT_WHY_NO_SERVER,
 			       now);
 }
 
--- a/route/rt_server.c
+++ b/route/rt_server.c
@@ -174,6 +174,7 @@
 		pace = rt_server_pace(s, rt_svc_best_pace(s->svc), now);
 	s->sampled_at = now;
 	rt_stat_note(a->stat, took);
+	rt_wait_note(s->svc, took, now);
 	if (a->why == RT_WHY_HEDGE)
 		rt_stat_note_second(a->stat, took);
 	s->pace = pace + weight * (ratio - pace);
--- a/route/rt_wait.c
+++ b/route/rt_wait.c
@@ -11,6 +11,10 @@
  */
 #include "libroute.h"
 
+/* A mean that is older tells of another load. */
+#define TOOK_FRESH (2 * USEC_PER_SEC)
+#define TOOK_WEIGHT 8 /* an answer counts for an eighth of the mean */
+
 static bool goes_before(const rt_shard_t *a, const rt_shard_t *b)
 {
 	if (a->q->route->priority != b->q->route->priority)
@@ -101,9 +105,29 @@
 	}
 }
 
+void rt_wait_note(rt_svc_t *svc, usec_t took, usec_t now)
+{
+	if (now - svc->took_at > TOOK_FRESH)
+		svc->took = took;
+	svc->took += (took - svc->took) / TOOK_WEIGHT;
+	svc->took_at = now;
+}
+
+/* What one request takes now: servers that are few, and full, take longer than
+ * the route's usual time. */
+static usec_t time_of_one(const rt_svc_t *svc, const rt_query_t *q, usec_t now)
+{
+	usec_t usual = rt_stat_usual(q->stat);
+
+	if (now - svc->took_at > TOOK_FRESH || svc->took < usual)
+		return usual;
+	return svc->took;
+}
+
 usec_t rt_wait_expected(const rt_t *rt, const rt_svc_t *svc,
-			const rt_query_t *q)
+			const rt_query_t *q, usec_t now)
 {
+	usec_t one = time_of_one(svc, q, now);
 	const rt_shard_t *sh;
 	uint64_t ahead = 0, room = 0;
 	size_t i;
@@ -112,11 +136,11 @@
 		if (sh->q->route->priority <= q->route->priority)
 			ahead++;
 	if (ahead == 0)
-		return 0;
+		return rt_stat_usual(q->stat);
 	for (i = 0; i < svc->n; i++)
 		if (rt_server_usable(svc->v[i]))
 			room += rt_server_cap(rt, svc->v[i]);
 	if (room == 0)
-		return q->deadline - q->arrived;
-	return (usec_t)(ahead * (uint64_t)rt_stat_usual(q->stat) / room);
+		return q->deadline - q->arrived + one;
+	return (usec_t)(ahead * (uint64_t)one / room) + one;
 }
--- a/tests/unit_load.c
+++ b/tests/unit_load.c
@@ -260,6 +260,52 @@
 	rig_free(r);
 }
 
+/* Two shards have lost most servers, what is left answers slowly: requests are
+ * admitted by the time that these take, and the others are told when to come
+ * back. */
+static void test_overload_of_some(void)
+{
+	static const struct {
+		usec_t slow; /* time of shards 0 and 1 */
+		size_t least;
+		size_t most; /* requests that can be served in a second */
+	} cases[] = {
+		{ 40 * MS, 20, 26 },
+		{ 150 * MS, 4, 7 },
+		{ 300 * MS, 2, 4 },
+	};
+	size_t i, j, from, waiting;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		rig_t *r = rig_new(100, 1);
+
+		for (j = 0; j < 30; j++) {
+			from = r->nsent;
+			rig_ask(r, "/all/x", r);
+			rig_pass(r, 20 * MS);
+			rig_end(r, from + 2, RT_ANSWERED, "aa");
+			rig_end(r, from + 3, RT_ANSWERED, "aa");
+			rig_pass(r, cases[i].slow - 20 * MS);
+			rig_end(r, from, RT_ANSWERED, "aa");
+			rig_end(r, from + 1, RT_ANSWERED, "aa");
+			rig_pass(r, 500 * MS);
+		}
+		r->nanswers = 0;
+		for (j = 0; j < 100; j++)
+			rig_ask(r, "/all/x", r);
+		waiting = rt_open(r->rt);
+		CU_ASSERT(waiting >= cases[i].least);
+		CU_ASSERT(waiting <= cases[i].most);
+		CU_ASSERT_EQUAL(r->nanswers, 100 - waiting);
+		CU_ASSERT_EQUAL(r->answer.outcome, RT_OUT_NOT_RUN);
+		CU_ASSERT_EQUAL(r->answer.why, RT_WHY_OVERLOAD);
+		/* One more fits when the next one was answered. */
+		CU_ASSERT(r->answer.retry_after >= 20 * MS);
+		CU_ASSERT(r->answer.retry_after <= cases[i].slow + 20 * MS);
+		rig_free(r);
+	}
+}
+
 /* A sixth of the answers is lost at full load on every host: all hosts
  * together stay within the budget of the window. */
 static void test_budget(void)
@@ -480,6 +526,8 @@
 		{ "those who come back", test_come_back },
 		{ "what cannot be in time is refused", test_overload },
 		{ "overload for seconds", test_long_overload },
+		{ "what some shards cannot serve in time is refused",
+		  test_overload_of_some },
 		{ "budget of all hosts", test_budget },
 		{ "near and far", test_far },
 		{ "slow server", test_slow_server },
