Status and metrics do not decide who reads the registry

Cause: fleet_should_read() keeps the time until which a host goes on reading; a question for status or metrics was taken for a turn of the loop, and could prolong it.

Change: the reader of the registry tells whether it reads.

--- a/daemon/edge_metrics.c
+++ b/daemon/edge_metrics.c
@@ -71,7 +71,7 @@
 		  age < 0 ? -1 : (double)age / (double)USEC_PER_SEC);
 	put_gauge(out, "hosts_alive", (double)fleet_alive(e->fleet, now));
 	put_gauge(out, "hosts_reckoned", (double)fleet_hosts(e->fleet, now));
-	put_gauge(out, "reads_registry", fleet_should_read(e->fleet, now));
+	put_gauge(out, "reads_registry", store_reads(e->store));
 	put_gauge(out, "log_lines_dropped", (double)log_dropped());
 }
 
--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -303,6 +303,11 @@
 		call(s);
 }
 
+bool store_reads(const store_t *s)
+{
+	return s->reading;
+}
+
 void store_confirm(store_t *s)
 {
 	if (s->listing)
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -130,6 +130,8 @@
 void store_confirm(store_t *s);
 /** Whether to read, or to leave that to a neighbour. */
 void store_read(store_t *s, bool reading);
+/** Whether it reads for itself; else a neighbour reads for this daemon. */
+bool store_reads(const store_t *s);
 void store_free(store_t *s);
 
 /* edge_state.c */
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -124,7 +124,7 @@
 void fleet_heard(fleet_t *f, const fleet_msg_t *m, usec_t now);
 /** The registry answered this daemon. */
 void fleet_read(fleet_t *f, usec_t now);
-/** Whether this daemon is to read the registry itself. */
+/** Decides whether this daemon reads the registry itself, from now on. */
 bool fleet_should_read(fleet_t *f, usec_t now);
 /** Whether others rely on what this daemon reads. */
 bool fleet_has_followers(const fleet_t *f, usec_t now);
