--- a/daemon/edge_admin.c
+++ b/daemon/edge_admin.c
@@ -37,9 +37,9 @@
 			     (json_int_t)(c ? c->version : 0), "list_version",
 			     (json_int_t)fleet_state_revision(e->state),
 			     "list_age_s", seconds(fleet_age(e->fleet, now)),
-			     "reads", store_reads(e->store),
-			     "daemons", (json_int_t)fleet_alive(e->fleet, now),
-			     "reckoned", (json_int_t)fleet_hosts(e->fleet, now),
+			     "reads", store_reads(e->store), "daemons",
+			     (json_int_t)fleet_alive(e->fleet, now), "reckoned",
+			     (json_int_t)fleet_hosts(e->fleet, now),
 			     "open_queries", (json_int_t)rt_open(e->rt),
 			     "log_lines_dropped", (json_int_t)log_dropped()));
 }
