Soak: signals go to daemons that handle them; a stand-in that cannot listen ends

Cause: SIGHUP between the start of the process and the daemon's main(), while its libraries are loaded; that ends any program.

Change: the soak signals a daemon once it handles SIGHUP.

--- a/standin/world.c
+++ b/standin/world.c
@@ -1,5 +1,6 @@
 /** @file world.c Store, callers and daemons of the routed path's tests. */
 #include <arpa/inet.h>
+#include <errno.h>
 #include <event2/listener.h>
 #include <fcntl.h>
 #include <glib/gstdio.h>
@@ -14,6 +15,7 @@
 #include "libworld.h"
 #include "standin.h"
 
+#define START_TIME USEC_PER_SEC /* a new process handles signals by then */
 #define WATCH_MAX_MS 20000
 #define PORT_FIRST 10000
 #define PORTS 20000
@@ -57,7 +59,8 @@
 				    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
 				    -1, (struct sockaddr *)&sa, sizeof(sa));
 	if (!l)
-		return NULL;
+		g_error("stand-in: cannot listen on 127.0.0.1: %s",
+			g_strerror(errno));
 	getsockname(evconnlistener_get_fd(l), (struct sockaddr *)&sa, &sz);
 	g_snprintf(addr, 32, "127.0.0.1:%u", ntohs(sa.sin_port));
 	return l;
@@ -348,6 +351,32 @@
 	_exit(127);
 }
 
+/* Whether a process handles SIGHUP: the first of the bits of SigCgt. */
+static bool handles_signals(pid_t pid)
+{
+	char path[48];
+	gchar *text, *at;
+	bool yes = false;
+
+	g_snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		return false;
+	at = strstr(text, "SigCgt:");
+	if (at)
+		yes = g_ascii_strtoull(at + strlen("SigCgt:"), NULL, 16) & 1;
+	g_free(text);
+	return yes;
+}
+
+void world_signal(const world_daemon_t *d, int sig)
+{
+	usec_t until = standin_now() + START_TIME;
+
+	while (!handles_signals(d->pid) && standin_now() < until)
+		g_usleep(1000);
+	kill(d->pid, sig);
+}
+
 static world_daemon_t *daemon_new(world_t *w, const char *dc)
 {
 	world_daemon_t *d = g_new0(world_daemon_t, 1);
--- a/standin/world.h
+++ b/standin/world.h
@@ -155,6 +155,8 @@
 world_daemon_t *world_daemon_unread(world_t *w, const char *dc);
 /** Starts a daemon that has ended again, as it was. */
 void world_restart(world_daemon_t *d);
+/** Signals a daemon's process once it handles signals. */
+void world_signal(const world_daemon_t *d, int sig);
 /** Leaves settings and logs of daemons in the world's directory. */
 void world_keep_logs(world_t *w);
 /** Waits until it is ready, or not; false after two seconds more. */
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -276,10 +276,10 @@
 		break;
 	case 2:
 		r->stopping[i] = true;
-		kill(r->d[i]->pid, SIGTERM);
+		world_signal(r->d[i], SIGTERM);
 		break;
 	default:
-		kill(r->d[i]->pid, SIGHUP);
+		world_signal(r->d[i], SIGHUP);
 		break;
 	}
 }
