--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -15,8 +15,10 @@
 #include "standin.h"
 #include "world.h"
 
-#define MAX_DAEMONS 300
-#define MAX_CALLERS 1200
+/* Each has a connection to each, from a port of its own: 160 use up the ports
+ * of one address. */
+#define MAX_DAEMONS 140
+#define MAX_CALLERS 560
 #define CALLERS_PER_DAEMON 4
 #define STEP_MS 40 /* between two faults */
 /* Past the time after which a draining server gets nothing new. */
@@ -510,7 +512,7 @@
 		{ "ms", 'm', 0, G_OPTION_ARG_INT, &o.ms,
 		  "Time with faults, of each seed", "MS" },
 		{ "daemons", 'd', 0, G_OPTION_ARG_INT, &o.daemons,
-		  "Daemons that run, 1 to 300", "N" },
+		  "Daemons that run, 1 to 140", "N" },
 		{ "proxies", 'p', 0, G_OPTION_ARG_NONE, &o.proxies,
 		  "Harm connections to the store and to servers", NULL },
 		{ "speech", 0, 0, G_OPTION_ARG_STRING, &o.speech,
