The check of the deploy build resolves links in two plain cases

Cause: the last read found the line that follows a symbolic link hard to follow. Change: absolute and relative targets apart; one comment of fleet.h shorter.

--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -84,8 +84,7 @@
  * than what is known is left out.
  */
 void fleet_state_take(fleet_state_t *s, const fleet_item_t *it, uint64_t as_of);
-/** A list of the registry begins: what it does not name by its end is deleted.
- */
+/** A list of the registry begins; what it does not name ends with it. */
 void fleet_state_list_begin(fleet_state_t *s);
 /** A page of the list begins, which holds for a revision. */
 void fleet_state_list_page(fleet_state_t *s, uint64_t as_of);
--- a/tests/deploy-build.sh
+++ b/tests/deploy-build.sh
@@ -88,14 +88,17 @@
 # the way through its symbolic links that a package owns, or "- PATH". Packages
 # name files as they were before /lib and /bin became links, or after.
 owners() {
-	local path next
+	local path next link
 	while read -r path; do
 		next=$path
 		while :; do
 			echo "$path $next"
 			[ -L "$next" ] || break
-			next=$(realpath -s "$(dirname "$next")/$(readlink "$next" |
-				sed "s|^/|$(realpath -s --relative-to="$(dirname "$next")" /)/|")")
+			link=$(readlink "$next")
+			case "$link" in
+			/*) next=$link ;;
+			*) next=$(realpath -s "$(dirname "$next")/$link") ;;
+			esac
 		done
 	done > "$dir/names"
 	awk '{
