Registry: log each failed request, and when the state is old

On call nobody could tell a host that was blind for 19 s from one that was up to date: the first line came with the time limit of the watch, and state_age_seconds grows whenever a watch waits.

Each request that fails now has a line with its cause and the time that it waited; 'state is old' is logged when no confirmation came for apply_limit_ms, with the time by which the open request is late; metrics count the requests by result. No logic is changed.

--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -42,12 +42,6 @@
 	json_decref(o);
 }
 
-/* Seconds; -1 for a negative time, which stands for "never". */
-static double to_seconds(usec_t t)
-{
-	return t < 0 ? -1.0 : (double)t / (double)USEC_PER_SEC;
-}
-
 static void page_status(admin_request_t *req, const admin_view_t *v)
 {
 	core_report_t r;
@@ -61,7 +55,7 @@
 			   v->ready, "stopping", r.stopping, "revision",
 			   (json_int_t)r.revision, "hash", hash, "list_version",
 			   (json_int_t)r.list_version, "list_age_s",
-			   to_seconds(r.list_age), "open_queries",
+			   age_seconds(r.list_age), "open_queries",
 			   (json_int_t)r.open_queries, "open_attempts",
 			   (json_int_t)r.open_attempts, "upstreams",
 			   (json_int_t)r.nupstreams, "log_lines_dropped",
@@ -82,7 +76,7 @@
 			 (json_int_t)r->inflight, "connections",
 			 (json_int_t)r->max_connections, "limit", r->limit,
 			 "latency_us", (json_int_t)r->latency, "evidence_age_s",
-			 to_seconds(r->evidence_age), "newest_snapshot",
+			 age_seconds(r->evidence_age), "newest_snapshot",
 			 (json_int_t)r->newest_snapshot, "state",
 			 why_name(r->state), "expected_us",
 			 (json_int_t)r->expected, "order", (json_int_t)r->rank);
--- a/daemon/edge_admin.c
+++ b/daemon/edge_admin.c
@@ -5,12 +5,6 @@
 
 #include "libedge.h"
 
-/* Seconds; -1 for a negative time, which stands for "unknown". */
-static double to_seconds(usec_t t)
-{
-	return t < 0 ? -1.0 : (double)t / (double)USEC_PER_SEC;
-}
-
 /* Answers with the JSON value and drops the reference to it. */
 static void reply_json(struct evhttp_request *req, json_t *o)
 {
@@ -40,7 +34,7 @@
 			  (json_int_t)(c ? c->revision : 0), "list_version",
 			  (json_int_t)fleet_state_revision(e->state),
 			  "list_age_s",
-			  to_seconds(fleet_last_read_age(e->fleet, now)),
+			  age_seconds(fleet_last_read_age(e->fleet, now)),
 			  "reads", registry_is_reading(e->registry), "daemons",
 			  (json_int_t)fleet_alive_count(e->fleet, now),
 			  "reckoned",
@@ -59,7 +53,7 @@
 			 (json_int_t)r->inflight, "connections",
 			 (json_int_t)r->max_connections, "pace", r->pace,
 			 "failing", r->failing, "evidence_age_s",
-			 to_seconds(r->age), "order", (json_int_t)r->rank);
+			 age_seconds(r->age), "order", (json_int_t)r->rank);
 }
 
 void edge_upstreams(struct evhttp_request *req, void *arg)
--- a/daemon/edge_metrics.c
+++ b/daemon/edge_metrics.c
@@ -57,6 +57,23 @@
 			    name, name, v);
 }
 
+static void put_registry(struct evbuffer *out, const edge_t *e)
+{
+	registry_result_t r;
+
+	evbuffer_add_printf(
+		out, "# TYPE geraniumslip_registry_requests_total counter\n");
+	for (r = 0; r < REGISTRY_RESULT_MAX; r++)
+		evbuffer_add_printf(
+			out,
+			"geraniumslip_registry_requests_total{result=\"%s\"} "
+			"%llu\n",
+			registry_result_name(r),
+			(unsigned long long)registry_requests(e->registry, r));
+	put_gauge(out, "registry_overdue_seconds",
+		  age_seconds(registry_overdue(e->registry, clock_now())));
+}
+
 static void put_gauges(struct evbuffer *out, edge_t *e)
 {
 	const rt_conf_t *c = rt_conf(e->rt);
@@ -67,8 +84,7 @@
 	put_gauge(out, "configuration_version", c ? (double)c->revision : 0);
 	put_gauge(out, "state_revision",
 		  (double)fleet_state_revision(e->state));
-	put_gauge(out, "state_age_seconds",
-		  age < 0 ? -1 : (double)age / (double)USEC_PER_SEC);
+	put_gauge(out, "state_age_seconds", age_seconds(age));
 	put_gauge(out, "hosts_alive", (double)fleet_alive_count(e->fleet, now));
 	put_gauge(out, "hosts_reckoned",
 		  (double)fleet_estimated_hosts(e->fleet, now));
@@ -89,6 +105,7 @@
 				    rt_counter_name(k), rt_counter_name(k),
 				    (unsigned long long)rt_counter(e->rt, k));
 	put_gauges(out, e);
+	put_registry(out, e);
 	put_hists(out, e->rt);
 	evhttp_send_reply(req, 200, "OK", out);
 	evbuffer_free(out);
--- a/daemon/edge_peer.c
+++ b/daemon/edge_peer.c
@@ -205,6 +205,27 @@
 		send_to_host(e, to[i], &m, now);
 }
 
+/* Logs when the last confirmation of the state becomes older than the time
+ * within which changes must be in force, and when it is recent again. */
+static void log_state_age(edge_t *e, usec_t now)
+{
+	usec_t age = fleet_last_read_age(e->fleet, now);
+	bool old = age > e->settings->apply_limit_ms * USEC_PER_MSEC;
+
+	if (old == e->state_old)
+		return;
+	e->state_old = old;
+	log_json(
+		old ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_MESSAGE,
+		old ? "state is old" : "state confirmed",
+		"\"age_ms\":%lld,\"overdue_ms\":%lld,\"reads\":%s,"
+		"\"revision\":%llu",
+		(long long)(age / USEC_PER_MSEC),
+		(long long)(registry_overdue(e->registry, now) / USEC_PER_MSEC),
+		registry_is_reading(e->registry) ? "true" : "false",
+		(unsigned long long)fleet_state_revision(e->state));
+}
+
 static void on_poll(evutil_socket_t fd, short what, void *arg)
 {
 	usec_t now = clock_now();
@@ -218,6 +239,7 @@
 	request_changes(e, now);
 	rt_set_hosts(e->rt, fleet_estimated_hosts(e->fleet, now));
 	registry_set_reading(e->registry, fleet_should_read(e->fleet, now));
+	log_state_age(e, now);
 	edge_run_actions(e);
 }
 
--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -41,10 +41,22 @@
 	bool listing;	/* the request is for a page of the list, not a watch */
 	bool available; /* the last request was answered */
 	bool refreshing; /* the request began after a suspension */
+	usec_t sent_at;	 /* time of the open request */
+	usec_t wait;	 /* for which the registry may hold back its answer */
 	usec_t backoff;
+	uint64_t results[REGISTRY_RESULT_MAX];
 	str_t last_key; /* owned; of the previous page */
 };
 
+static const char *const result_names[REGISTRY_RESULT_MAX] = {
+	[REGISTRY_ANSWERED] = "answered",
+	[REGISTRY_REFUSED] = "refused",
+	[REGISTRY_INVALID] = "not an answer",
+	[REGISTRY_CLOSED] = "closed",
+	[REGISTRY_UNREACHABLE] = "connection",
+	[REGISTRY_TIMEOUT] = "no answer in time",
+};
+
 static void send_request(registry_t *r);
 static void on_read(struct bufferevent *bev, void *arg);
 static void on_event(struct bufferevent *bev, short what, void *arg);
@@ -100,13 +112,20 @@
 	r->available = available;
 }
 
-static void fail_request(registry_t *r, const char *why, unsigned status)
+static void fail_request(registry_t *r, registry_result_t why, unsigned status)
 {
 	usec_t wait = r->backoff / 2;
 
+	log_json(G_LOG_LEVEL_INFO, "registry request failed",
+		 "\"request\":\"%s\",\"why\":\"%s\",\"status\":%u,"
+		 "\"waited_ms\":%lld,\"revision\":%llu",
+		 r->listing ? "list" : "watch", result_names[why], status,
+		 (long long)((clock_now() - r->sent_at) / USEC_PER_MSEC),
+		 (unsigned long long)fleet_state_revision(r->e->state));
+	r->results[why]++;
 	r->waiting = false;
 	disconnect(r);
-	set_available(r, false, why, status);
+	set_available(r, false, result_names[why], status);
 	wait += (usec_t)g_random_int_range(0, (gint32)r->backoff / 2 + 1);
 	set_timer(r, wait);
 	r->backoff *= 2;
@@ -157,10 +176,12 @@
 
 	if (!r->e->protocol->read_items(body, &items, &mem)) {
 		arena_free(&mem);
-		fail_request(r, "not an answer", r->msg.parser.status_code);
+		fail_request(r, REGISTRY_INVALID, r->msg.parser.status_code);
 		return;
 	}
-	set_available(r, true, "answered", r->msg.parser.status_code);
+	r->results[REGISTRY_ANSWERED]++;
+	set_available(r, true, result_names[REGISTRY_ANSWERED],
+		      r->msg.parser.status_code);
 	r->backoff = BACKOFF_MIN;
 	if (r->listing) {
 		apply_list_page(r, &items);
@@ -200,7 +221,7 @@
 		return;
 	}
 	if (!http_msg_feed(&r->msg, bufferevent_get_input(bev))) {
-		fail_request(r, "not an answer", 0);
+		fail_request(r, REGISTRY_INVALID, 0);
 		edge_run_actions(e);
 		return;
 	}
@@ -220,7 +241,7 @@
 		start_list(r);
 		send_request(r);
 	} else {
-		fail_request(r, "refused", status);
+		fail_request(r, REGISTRY_REFUSED, status);
 	}
 	edge_run_actions(e);
 }
@@ -234,7 +255,9 @@
 	if (what & BEV_EVENT_CONNECTED)
 		return;
 	if (r->waiting)
-		fail_request(r, what & BEV_EVENT_EOF ? "closed" : "connection",
+		fail_request(r,
+			     what & BEV_EVENT_EOF ? REGISTRY_CLOSED
+						  : REGISTRY_UNREACHABLE,
 			     0);
 	else
 		disconnect(r);
@@ -245,10 +268,11 @@
 {
 	uint64_t revision = fleet_state_revision(r->e->state);
 	char path[OUTSIDE_PATH_MAX];
-	usec_t wait = 0;
 
+	r->sent_at = clock_now();
+	r->wait = 0;
 	if (!r->bev && !connect_registry(r)) {
-		fail_request(r, "connect", 0);
+		fail_request(r, REGISTRY_UNREACHABLE, 0);
 		return;
 	}
 	if (r->listing) {
@@ -256,12 +280,13 @@
 		 * changes. */
 		r->e->protocol->list_path(path, r->last_key, revision == 0);
 	} else {
-		wait = fleet_has_followers(r->e->fleet, clock_now())
-			       ? share_of_apply_limit(r, FOLLOWED_WATCH_SHARE)
-			       : WATCH_WAIT;
+		r->wait =
+			fleet_has_followers(r->e->fleet, r->sent_at)
+				? share_of_apply_limit(r, FOLLOWED_WATCH_SHARE)
+				: WATCH_WAIT;
 		if (r->refreshing)
-			wait = 0;
-		r->e->protocol->watch_path(path, revision, wait);
+			r->wait = 0;
+		r->e->protocol->watch_path(path, revision, r->wait);
 	}
 	http_msg_reset(&r->msg, HTTP_RESPONSE);
 	r->msg.body_limit = MAX_ANSWER_BYTES;
@@ -269,7 +294,7 @@
 	evbuffer_add_printf(bufferevent_get_output(r->bev),
 			    "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path,
 			    r->addr);
-	set_timer(r, wait + REQUEST_TIMEOUT);
+	set_timer(r, r->wait + REQUEST_TIMEOUT);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
@@ -279,7 +304,7 @@
 	(void)fd;
 	(void)what;
 	if (r->waiting)
-		fail_request(r, "no answer in time", 0);
+		fail_request(r, REGISTRY_TIMEOUT, 0);
 	else if (r->reading || fleet_state_revision(r->e->state) == 0)
 		send_request(r);
 	edge_run_actions(r->e);
@@ -330,6 +355,23 @@
 	send_request(r);
 }
 
+uint64_t registry_requests(const registry_t *r, registry_result_t result)
+{
+	return r->results[result];
+}
+
+const char *registry_result_name(registry_result_t result)
+{
+	return result_names[result];
+}
+
+usec_t registry_overdue(const registry_t *r, usec_t now)
+{
+	usec_t overdue = now - r->sent_at - r->wait;
+
+	return r->waiting && overdue > 0 ? overdue : 0;
+}
+
 bool registry_has_addr(const registry_t *r, const char *addr)
 {
 	return strcmp(r->addr, addr) == 0;
--- a/daemon/libdaemon.h
+++ b/daemon/libdaemon.h
@@ -91,6 +91,8 @@
 /* clock.c */
 /** Microseconds of CLOCK_BOOTTIME, which includes time in suspend. */
 usec_t clock_now(void);
+/** An age in seconds; -1 for an age below 0, which stands for "never". */
+double age_seconds(usec_t age);
 
 /* log.c */
 /** Starts a thread that writes lines to fd; for level see log_set_level(). */
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -148,6 +148,18 @@
 void links_free(links_t *l);
 
 /* edge_store.c */
+
+/** How a request to the registry ended. */
+typedef enum registry_result {
+	REGISTRY_ANSWERED,
+	REGISTRY_REFUSED,     /**< by its status */
+	REGISTRY_INVALID,     /**< the bytes were not an answer */
+	REGISTRY_CLOSED,      /**< the registry closed the connection */
+	REGISTRY_UNREACHABLE, /**< no connection, or it was reset */
+	REGISTRY_TIMEOUT,     /**< no answer within the time limit */
+	REGISTRY_RESULT_MAX,
+} registry_result_t;
+
 /** Starts to read published state from the registry at IP:PORT. */
 registry_t *registry_start(edge_t *e, const char *addr);
 /** Whether the registry's address is addr (IP:PORT). */
@@ -161,6 +173,15 @@
 void registry_set_reading(registry_t *r, bool reading);
 /** Whether this daemon reads the registry; else a neighbour does so for it. */
 bool registry_is_reading(const registry_t *r);
+/** Counts the requests that ended in a way since the start. */
+uint64_t registry_requests(const registry_t *r, registry_result_t result);
+/** The text of a result, for logs and metrics. */
+const char *registry_result_name(registry_result_t result);
+/**
+ * Time by which the answer to the open request is late: since the request, less
+ * the time for which the registry may hold it back. 0 if none is late.
+ */
+usec_t registry_overdue(const registry_t *r, usec_t now);
 /** Closes the connection to the registry; NULL is allowed. */
 void registry_free(registry_t *r);
 
@@ -221,6 +242,7 @@
 	bool running_actions;	  /* edge_run_actions() is on the stack */
 	bool stopping; /* not ready; connections close after their answer */
 	bool listener_closed;
+	bool state_old;		 /* "state is old" was logged */
 	usec_t log_second_start; /* start of the second that log_lines counts */
 	unsigned log_lines[EDGE_LOG_KINDS]; /* by kind */
 };
