--- a/standin/libworld.h
+++ b/standin/libworld.h
@@ -13,6 +13,7 @@
 	struct bufferevent *bev;
 	http_msg_t msg;	     /**< request that is being received */
 	struct event *timer; /**< delays an answer; NULL if not used yet */
+	bool silent;	     /**< no request is answered any more */
 	bool answering;	     /**< a request was received, no answer sent yet */
 	void (*on_request)(struct world_conn *c);
 	void (*on_closed)(struct world_conn *c); /**< NULL: not called */
--- a/standin/world.c
+++ b/standin/world.c
@@ -194,6 +194,9 @@
 	GString *error;
 
 	w->store_requests++;
+	c->silent |= w->store_silent;
+	if (c->silent)
+		return;
 	if (w->store_down) {
 		error = g_string_new("{\"error\":\"down\"}");
 		reply_json(c->bev, 503, error);
--- a/standin/world.h
+++ b/standin/world.h
@@ -124,6 +124,11 @@
 	GPtrArray *watches; /**< requests that wait for a change */
 	uint64_t revision;
 	bool store_down; /**< the store answers 503 */
+	/**
+	 * The store never answers the requests that it gets now, nor later ones
+	 * on their connections, which stay open. Watches that wait go on.
+	 */
+	bool store_silent;
 	unsigned store_requests;
 	GPtrArray *servers; /**< world_server_t */
 	GPtrArray *proxies; /**< world_proxy_t */
