Process test of metrics: any second send answers a request that met the fault

The daemon's log shows why: the first send was lost while a probe of the other server was in flight, and the probe's answer went to the caller (send first i-a-0, send probe i-a-1, reply first lost, reply probe answered). No retry is due then.

--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -575,7 +575,7 @@
 	};
 	setup_t r = setup_new();
 	world_answer_t a;
-	double sends, faults;
+	double sends, faults, extra;
 	size_t i;
 
 	for (i = 0; i < 5; i++)
@@ -601,13 +601,15 @@
 	 * answer of the faulty server was late before, the daemon may send all
 	 * later requests to the other server, so that none meets the fault. */
 	faults = r.a[0]->faulty_requests == 0 ? 1 : 0;
-	sends = metric_sum(a.body->str, "geraniumslip_first_sends_total") +
-		metric_sum(a.body->str, "geraniumslip_retries_total") +
+	extra = metric_sum(a.body->str, "geraniumslip_retries_total") +
 		metric_sum(a.body->str, "geraniumslip_hedges_total") +
 		metric_sum(a.body->str, "geraniumslip_probes_total");
+	sends = metric_sum(a.body->str, "geraniumslip_first_sends_total") +
+		extra;
 	CU_ASSERT(sends >= 13 + faults);
-	CU_ASSERT(metric_sum(a.body->str, "geraniumslip_retries_total") >=
-		  faults);
+	/* The request that met the fault was answered by a second send: a
+	 * retry, or a hedge or a probe that was in flight already. */
+	CU_ASSERT(extra >= faults);
 	CU_ASSERT_EQUAL(sends, metric_sum(a.body->str,
 					  "geraniumslip_send_seconds_count"));
 	CU_ASSERT_EQUAL(
