Registry: the age of the state decides who asks; a lost watch costs half a limit

What callers saw: for up to 21.5 s after an outage of the registry, requests were handled by old versions (CONFIG), sent to servers that had left (DRAIN) and answered 404 for routes that exist (DENIED).

Cause: a request that the registry took and will never answer. A host took 'no answer yet' to its watch for 'nothing has changed', for 20 s and 1.5 s more. In a data centre of fewer than six hosts all hosts read, all send their watch at the same moment (one change has just answered all of them), so all are blind together and no neighbour has a higher revision. The class of fault: a wait for another process whose limit is longer than what depends on it.

Change: fleet/ keeps the time as of which the state is known to be complete, from answers of the registry, dated by their requests, and from messages of hosts that had such an answer and no newer state. In each data centre, small ones too, the host of the lowest rank asks often and confirms the state to the others; when no confirmation comes the next ones take over in order of rank, and end their open watch. Hosts whose registry is silent are confirmed by neighbours of any data centre. A request must have its first byte within 0.15 of apply_limit_ms beside its wait, longer if the registry is slow. A first list may be stale and confirms nothing.

--- a/daemon/edge_metrics.c
+++ b/daemon/edge_metrics.c
@@ -77,7 +77,7 @@
 static void put_gauges(struct evbuffer *out, edge_t *e)
 {
 	const rt_conf_t *c = rt_conf(e->rt);
-	usec_t now = clock_now(), age = fleet_last_read_age(e->fleet, now);
+	usec_t now = clock_now(), age = fleet_state_age(e->fleet, now);
 
 	put_gauge(out, "open_requests", (double)rt_open_requests(e->rt));
 	put_gauge(out, "callers", (double)callers_count(e));
@@ -88,7 +88,8 @@
 	put_gauge(out, "hosts_alive", (double)fleet_alive_count(e->fleet, now));
 	put_gauge(out, "hosts_reckoned",
 		  (double)fleet_estimated_hosts(e->fleet, now));
-	put_gauge(out, "reads_registry", registry_is_reading(e->registry));
+	put_gauge(out, "reads_registry",
+		  registry_role(e->registry) != FLEET_FOLLOWER);
 	put_gauge(out, "log_lines_dropped", (double)log_dropped());
 }
 
--- a/daemon/edge_peer.c
+++ b/daemon/edge_peer.c
@@ -12,8 +12,9 @@
 #define MAX_FOLLOWERS 256
 /* Allows several requests in the time in which changes must be in force. */
 #define CHANGES_REQUEST_PERIOD (400 * USEC_PER_MSEC)
-/* The registry counts as silent if its last confirmation is older. */
-#define REGISTRY_SILENT_TIME (3 * USEC_PER_SEC)
+/* The registry counts as silent if the state is older than this share of
+ * apply_limit_ms: then neighbours of any data centre are asked as well. */
+#define SILENT_SHARE 0.6
 
 struct fleet_peers {
 	edge_t *e;
@@ -98,14 +99,39 @@
 	return n;
 }
 
+static usec_t share_of_apply_limit(const edge_t *e, double share)
+{
+	return (usec_t)(share * e->settings->apply_limit_ms) * USEC_PER_MSEC;
+}
+
+static bool is_recent(const edge_t *e, usec_t age)
+{
+	return age >= 0 && age <= share_of_apply_limit(e, SILENT_SHARE);
+}
+
+/* Tells a daemon whose state has all changes that this is so, for the registry
+ * may not answer it. Only own reads count, and old ones would not help. */
+static void confirm_state(edge_t *e, str_t to, usec_t now)
+{
+	uint64_t revision = fleet_state_revision(e->state);
+	fleet_msg_t m = { .kind = FLEET_STATE_UPDATE,
+			  .since_revision = revision };
+
+	fleet_fill_message(e->fleet, &m, revision, now);
+	if (is_recent(e, m.last_read_age))
+		send_to_host(e, to, &m, now);
+}
+
 static void on_state_request(edge_t *e, const fleet_msg_t *m, usec_t now)
 {
 	fleet_msg_t reply = { .kind = FLEET_STATE_UPDATE,
 			      .since_revision = m->since_revision };
 	arena_t mem = { 0 };
 
-	if (fleet_state_revision(e->state) <= m->since_revision)
+	if (fleet_state_revision(e->state) <= m->since_revision) {
+		confirm_state(e, m->from, now);
 		return;
+	}
 	fleet_state_changes_since(e->state, &reply, &mem);
 	if (fleet_may_reply(e->fleet, items_size(&reply), now))
 		send_to_host(e, m->from, &reply, now);
@@ -135,7 +161,7 @@
 		rt_set_registry_back(e->rt, now - m->registry_back_age);
 	/* The registry was confirmed recently, so it answers: route/ can tell
 	 * which leases expired during the outage. */
-	if (m->last_read_age >= 0 && m->last_read_age < REGISTRY_SILENT_TIME)
+	if (is_recent(e, m->last_read_age))
 		rt_set_registry_up(e->rt, true, now);
 	fleet_state_apply_message(e->state, m);
 }
@@ -165,8 +191,9 @@
 
 	while ((bytes = peers_receive_bytes(e->peers->peers, &sz))) {
 		if (fleet_decode(bytes, sz, &m, &mem)) {
-			fleet_on_message(e->fleet, &m, now);
 			msg_fns[m.kind](e, &m, now);
+			fleet_on_message(e->fleet, &m,
+					 fleet_state_revision(e->state), now);
 		} else {
 			log_json(G_LOG_LEVEL_WARNING, "peer message refused",
 				 "\"bytes\":%zu", sz);
@@ -179,8 +206,7 @@
 static void request_changes(edge_t *e, usec_t now)
 {
 	uint64_t known = fleet_state_revision(e->state);
-	usec_t age = fleet_last_read_age(e->fleet, now);
-	bool silent = age < 0 || age > REGISTRY_SILENT_TIME;
+	bool silent = !is_recent(e, fleet_state_age(e->fleet, now));
 	fleet_msg_t m = { .kind = FLEET_STATE_REQUEST,
 			  .since_revision = known };
 	str_t to;
@@ -209,21 +235,18 @@
  * within which changes must be in force, and when it is recent again. */
 static void log_state_age(edge_t *e, usec_t now)
 {
-	usec_t age = fleet_last_read_age(e->fleet, now);
-	bool old = age > e->settings->apply_limit_ms * USEC_PER_MSEC;
+	usec_t age = fleet_state_age(e->fleet, now);
+	bool old = age > share_of_apply_limit(e, 1);
 
 	if (old == e->state_old)
 		return;
 	e->state_old = old;
-	log_json(
-		old ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_MESSAGE,
-		old ? "state is old" : "state confirmed",
-		"\"age_ms\":%lld,\"overdue_ms\":%lld,\"reads\":%s,"
-		"\"revision\":%llu",
-		(long long)(age / USEC_PER_MSEC),
-		(long long)(registry_overdue(e->registry, now) / USEC_PER_MSEC),
-		registry_is_reading(e->registry) ? "true" : "false",
-		(unsigned long long)fleet_state_revision(e->state));
+	log_json(old ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_MESSAGE,
+		 old ? "state is old" : "state confirmed",
+		 "\"age_s\":%.3f,\"overdue_s\":%.3f,\"revision\":%llu",
+		 age_seconds(age),
+		 age_seconds(registry_overdue(e->registry, now)),
+		 (unsigned long long)fleet_state_revision(e->state));
 }
 
 static void on_poll(evutil_socket_t fd, short what, void *arg)
@@ -238,7 +261,7 @@
 	send_hellos(e, now);
 	request_changes(e, now);
 	rt_set_hosts(e->rt, fleet_estimated_hosts(e->fleet, now));
-	registry_set_reading(e->registry, fleet_should_read(e->fleet, now));
+	registry_set_role(e->registry, fleet_role(e->fleet, now));
 	log_state_age(e, now);
 	edge_run_actions(e);
 }
@@ -280,12 +303,12 @@
 	arena_free(&mem);
 }
 
-void fleet_peers_push_changes(edge_t *e, uint64_t since_revision)
+void fleet_peers_push_changes(edge_t *e, uint64_t since_revision, usec_t as_of)
 {
 	usec_t now = clock_now();
 
-	fleet_on_registry_read(e->fleet, now);
-	if (fleet_has_followers(e->fleet, now))
+	fleet_on_registry_read(e->fleet, as_of);
+	if (fleet_role(e->fleet, now) == FLEET_CONFIRMER)
 		push_changes(e, since_revision, now);
 }
 
@@ -305,7 +328,7 @@
 
 void fleet_peers_send_registry_lost(edge_t *e)
 {
-	if (fleet_has_followers(e->fleet, clock_now()))
+	if (fleet_role(e->fleet, clock_now()) == FLEET_CONFIRMER)
 		send_to_followers(
 			e, &(fleet_msg_t){ .kind = FLEET_REGISTRY_LOST });
 }
--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -10,23 +10,30 @@
 
 #include "libedge.h"
 
-/* Longest wait of a watch for changes. */
+/* Longest wait of a watch of a FLEET_READER. If its answer is lost, others
+ * confirm the state, or this daemon takes over and ends the watch. */
 #define WATCH_WAIT (20 * USEC_PER_SEC)
-/* Pause between two watches, as a share of apply_limit_ms, which is the time
- * limit for published changes to be in force. Changes during the pause come in
- * one answer. */
+/* The shares below are of apply_limit_ms, the time limit for published changes
+ * to be in force. A pause, a lost request and the next one fit into it. */
+/* Pause between two watches; changes during the pause come in one answer. */
 #define WATCH_PAUSE_SHARE 0.3
-/* Longest wait of a watch while there are followers, as a share of
- * apply_limit_ms: after each answer they are notified that the registry
- * answers. */
-#define FOLLOWED_WATCH_SHARE 0.05
-/* Time limit of a request, in addition to the wait of a watch. */
-#define REQUEST_TIMEOUT (1500 * USEC_PER_MSEC)
+/* Pause after the first list, which may be stale and must be confirmed. For a
+ * FLEET_READER another daemon may do that. */
+#define FIRST_PAUSE_SHARE 0.1
+#define FIRST_READER_PAUSE_SHARE 0.45
+/* Longest wait of a watch of a FLEET_CONFIRMER. */
+#define CONFIRM_WAIT_SHARE 0.05
+/* Time limit for the first byte of an answer, beside the wait. It follows the
+ * time that the registry takes, and grows after a timeout: a slow registry must
+ * not lose each request to its limit. */
+#define ANSWER_LIMIT_MIN_SHARE 0.15
+#define ANSWER_LIMIT_MAX_SHARE 0.5
+#define ANSWER_LIMIT_FACTOR 4 /* times the last answer's time */
 /* Bounds of the backoff; the delay of a retry is 50 % to 100 % of it. Requests
- * put load on the registry even if it refuses them, but changes must be in
- * force within 3 s. */
+ * put load on the registry even if it refuses them. */
 #define BACKOFF_MIN (150 * USEC_PER_MSEC)
 #define BACKOFF_MAX (1500 * USEC_PER_MSEC)
+#define BACKOFF_MAX_SHARE 0.5
 #define HTTP_GONE 410
 #define MAX_ANSWER_BYTES ((size_t)16 << 20)
 
@@ -36,13 +43,16 @@
 	struct bufferevent *bev;
 	http_msg_t msg;
 	struct event *timer;
+	fleet_role_t role;
 	bool waiting;	/* a request is open */
-	bool reading;	/* else a neighbour reads for this daemon */
+	bool answering; /* the first bytes of its answer were received */
 	bool listing;	/* the request is for a page of the list, not a watch */
+	bool stale;	/* the list may lack the latest changes */
 	bool available; /* the last request was answered */
 	bool refreshing; /* the request began after a suspension */
 	usec_t sent_at;	 /* time of the open request */
 	usec_t wait;	 /* for which the registry may hold back its answer */
+	usec_t answer_limit; /* time limit in addition to wait */
 	usec_t backoff;
 	uint64_t results[REGISTRY_RESULT_MAX];
 	str_t last_key; /* owned; of the previous page */
@@ -73,6 +83,20 @@
 	return (usec_t)(share * r->e->settings->apply_limit_ms) * USEC_PER_MSEC;
 }
 
+static usec_t within(usec_t v, usec_t min, usec_t max)
+{
+	if (v > max)
+		v = max;
+	return v > min ? v : min;
+}
+
+static void set_answer_limit(registry_t *r, usec_t limit)
+{
+	r->answer_limit =
+		within(limit, share_of_apply_limit(r, ANSWER_LIMIT_MIN_SHARE),
+		       share_of_apply_limit(r, ANSWER_LIMIT_MAX_SHARE));
+}
+
 static void disconnect(registry_t *r)
 {
 	if (r->bev)
@@ -114,6 +138,7 @@
 
 static void fail_request(registry_t *r, registry_result_t why, unsigned status)
 {
+	usec_t max = share_of_apply_limit(r, BACKOFF_MAX_SHARE);
 	usec_t wait = r->backoff / 2;
 
 	log_json(G_LOG_LEVEL_INFO, "registry request failed",
@@ -128,9 +153,10 @@
 	set_available(r, false, result_names[why], status);
 	wait += (usec_t)g_random_int_range(0, (gint32)r->backoff / 2 + 1);
 	set_timer(r, wait);
-	r->backoff *= 2;
-	if (r->backoff > BACKOFF_MAX)
-		r->backoff = BACKOFF_MAX;
+	r->backoff = within(2 * r->backoff, BACKOFF_MIN,
+			    max < BACKOFF_MAX ? max : BACKOFF_MAX);
+	if (why == REGISTRY_TIMEOUT)
+		set_answer_limit(r, 2 * r->answer_limit);
 }
 
 static void apply_items(registry_t *r, const outside_items_t *items)
@@ -167,8 +193,40 @@
 	r->listing = false;
 }
 
+/* Time up to which the answer has all changes. An empty one was sent when the
+ * wait was over, others at any time since the request. */
+static usec_t answer_as_of(const registry_t *r, const outside_items_t *items,
+			   usec_t now)
+{
+	bool waited =
+		!r->listing && items->n == 0 && now - r->sent_at >= r->wait;
+
+	return r->sent_at + (waited ? r->wait : 0);
+}
+
+/* Ends a request that was answered. The state is as of the given time, unless
+ * it is from a list that may be stale. */
+static void finish_read(registry_t *r, uint64_t before, usec_t as_of)
+{
+	double pause = r->role == FLEET_READER ? FIRST_READER_PAUSE_SHARE
+					       : FIRST_PAUSE_SHARE;
+
+	r->waiting = false;
+	if (r->refreshing)
+		rt_on_registry_read(r->e->rt, clock_now());
+	r->refreshing = false;
+	if (!r->stale) {
+		fleet_peers_push_changes(r->e, before, as_of);
+		pause = WATCH_PAUSE_SHARE;
+	}
+	r->stale = false;
+	if (r->role != FLEET_FOLLOWER)
+		set_timer(r, share_of_apply_limit(r, pause));
+}
+
 static void handle_answer(registry_t *r)
 {
+	usec_t now = clock_now(), as_of;
 	uint64_t before = fleet_state_revision(r->e->state);
 	arena_t mem = { 0 };
 	outside_items_t items;
@@ -183,6 +241,8 @@
 	set_available(r, true, result_names[REGISTRY_ANSWERED],
 		      r->msg.parser.status_code);
 	r->backoff = BACKOFF_MIN;
+	set_answer_limit(r, ANSWER_LIMIT_FACTOR * registry_overdue(r, now));
+	as_of = answer_as_of(r, &items, now);
 	if (r->listing) {
 		apply_list_page(r, &items);
 	} else {
@@ -190,17 +250,10 @@
 		fleet_state_advance(r->e->state, items.revision);
 	}
 	arena_free(&mem);
-	r->waiting = false;
-	if (r->listing) {
+	if (r->listing)
 		send_request(r);
-		return;
-	}
-	if (r->refreshing)
-		rt_on_registry_read(r->e->rt, clock_now());
-	r->refreshing = false;
-	fleet_peers_push_changes(r->e, before);
-	if (r->reading)
-		set_timer(r, share_of_apply_limit(r, WATCH_PAUSE_SHARE));
+	else
+		finish_read(r, before, as_of);
 }
 
 static void start_list(registry_t *r)
@@ -225,8 +278,14 @@
 		edge_run_actions(e);
 		return;
 	}
-	if (!r->msg.done)
+	if (!r->msg.done) {
+		/* The request isn't lost; a long answer takes time. */
+		if (!r->answering)
+			set_timer(r, share_of_apply_limit(
+					     r, ANSWER_LIMIT_MAX_SHARE));
+		r->answering = true;
 		return;
+	}
 	evtimer_del(r->timer);
 	status = r->msg.parser.status_code;
 	if (!r->msg.keep_alive)
@@ -264,13 +323,22 @@
 	edge_run_actions(e);
 }
 
+static usec_t watch_wait(const registry_t *r)
+{
+	return r->role == FLEET_CONFIRMER
+		       ? share_of_apply_limit(r, CONFIRM_WAIT_SHARE)
+		       : WATCH_WAIT;
+}
+
 static void send_request(registry_t *r)
 {
 	uint64_t revision = fleet_state_revision(r->e->state);
 	char path[OUTSIDE_PATH_MAX];
+	usec_t limit = r->answer_limit;
 
 	r->sent_at = clock_now();
 	r->wait = 0;
+	r->answering = false;
 	if (!r->bev && !connect_registry(r)) {
 		fail_request(r, REGISTRY_UNREACHABLE, 0);
 		return;
@@ -278,14 +346,13 @@
 	if (r->listing) {
 		/* The first list may be stale: the watch gets the later
 		 * changes. */
-		r->e->protocol->list_path(path, r->last_key, revision == 0);
+		if (r->last_key.sz == 0)
+			r->stale = revision == 0;
+		r->e->protocol->list_path(path, r->last_key, r->stale);
+		limit = share_of_apply_limit(r, ANSWER_LIMIT_MAX_SHARE);
 	} else {
-		r->wait =
-			fleet_has_followers(r->e->fleet, r->sent_at)
-				? share_of_apply_limit(r, FOLLOWED_WATCH_SHARE)
-				: WATCH_WAIT;
-		if (r->refreshing)
-			r->wait = 0;
+		if (!r->refreshing)
+			r->wait = watch_wait(r);
 		r->e->protocol->watch_path(path, revision, r->wait);
 	}
 	http_msg_reset(&r->msg, HTTP_RESPONSE);
@@ -294,7 +361,7 @@
 	evbuffer_add_printf(bufferevent_get_output(r->bev),
 			    "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path,
 			    r->addr);
-	set_timer(r, r->wait + REQUEST_TIMEOUT);
+	set_timer(r, r->wait + limit);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
@@ -305,7 +372,8 @@
 	(void)what;
 	if (r->waiting)
 		fail_request(r, REGISTRY_TIMEOUT, 0);
-	else if (r->reading || fleet_state_revision(r->e->state) == 0)
+	else if (r->role != FLEET_FOLLOWER ||
+		 fleet_state_revision(r->e->state) == 0)
 		send_request(r);
 	edge_run_actions(r->e);
 }
@@ -320,29 +388,45 @@
 	r->timer = evtimer_new(e->base, on_timer, r);
 	http_msg_init(&r->msg, HTTP_RESPONSE);
 	r->available = true;
-	r->reading = true;
+	r->role = fleet_role(e->fleet, clock_now());
+	set_answer_limit(r, 0);
 	if (fleet_state_revision(e->state) == 0)
 		start_list(r);
 	send_request(r);
 	return r;
 }
 
-void registry_set_reading(registry_t *r, bool reading)
+void registry_set_role(registry_t *r, fleet_role_t role)
 {
-	if (r->reading == reading)
+	static const char *const events[] = {
+		[FLEET_FOLLOWER] = "follows",
+		[FLEET_READER] = "reads",
+		[FLEET_CONFIRMER] = "confirms",
+	};
+
+	fleet_role_t old = r->role;
+
+	if (role == old)
 		return;
-	r->reading = reading;
-	log_json(G_LOG_LEVEL_INFO, reading ? "reads" : "follows",
-		 "\"revision\":%llu",
-		 (unsigned long long)fleet_state_revision(r->e->state));
-	/* An open watch isn't cancelled; it ends by itself. */
-	if (reading && !r->waiting)
+	r->role = role;
+	log_json(G_LOG_LEVEL_INFO, events[role],
+		 "\"revision\":%llu,\"age_s\":%.3f",
+		 (unsigned long long)fleet_state_revision(r->e->state),
+		 age_seconds(fleet_state_age(r->e->fleet, clock_now())));
+	/* A watch that isn't needed any more ends by itself. */
+	if (role == FLEET_FOLLOWER)
+		return;
+	if (r->waiting && r->wait > watch_wait(r))
+		registry_refresh(r); /* the long watch may be lost */
+	else if (!evtimer_pending(r->timer, NULL))
 		send_request(r);
+	else if (!r->waiting && old == FLEET_CONFIRMER)
+		set_timer(r, share_of_apply_limit(r, FIRST_READER_PAUSE_SHARE));
 }
 
-bool registry_is_reading(const registry_t *r)
+fleet_role_t registry_role(const registry_t *r)
 {
-	return r->reading;
+	return r->role;
 }
 
 void registry_refresh(registry_t *r)
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -169,10 +169,10 @@
  * rt_on_registry_read().
  */
 void registry_refresh(registry_t *r);
-/** Sets whether this daemon reads the registry or relies on a neighbour. */
-void registry_set_reading(registry_t *r, bool reading);
-/** Whether this daemon reads the registry; else a neighbour does so for it. */
-bool registry_is_reading(const registry_t *r);
+/** Sets how this daemon reads the registry. */
+void registry_set_role(registry_t *r, fleet_role_t role);
+/** How this daemon reads the registry. */
+fleet_role_t registry_role(const registry_t *r);
 /** Counts the requests that ended in a way since the start. */
 uint64_t registry_requests(const registry_t *r, registry_result_t result);
 /** The text of a result, for logs and metrics. */
@@ -193,11 +193,12 @@
 /** Opens the socket for other daemons; false if that fails. */
 bool fleet_peers_start(edge_t *e);
 /**
- * Called when the registry has answered: sends the changes after since_revision
- * to the followers, which are the daemons that rely on this one's reading.
+ * Called when the registry has answered: the state has all changes up to the
+ * time as_of. A FLEET_CONFIRMER sends that, with the changes after
+ * since_revision, to the daemons of its data centre.
  */
-void fleet_peers_push_changes(edge_t *e, uint64_t since_revision);
-/** Notifies followers that the registry does not answer. */
+void fleet_peers_push_changes(edge_t *e, uint64_t since_revision, usec_t as_of);
+/** As FLEET_CONFIRMER, notifies them that the registry does not answer. */
 void fleet_peers_send_registry_lost(edge_t *e);
 /** Notifies followers that this daemon stops. */
 void fleet_peers_send_leave(edge_t *e);
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -52,7 +52,10 @@
 	str_t from;	   /**< address of the sender */
 	str_t dc;	   /**< data centre of the sender */
 	uint64_t revision; /**< the sender has all changes up to it */
-	/** Time since the registry last answered the sender; below 0: never. */
+	/**
+	 * The sender had all changes this long ago, by an answer of the
+	 * registry to itself; below 0: it had no answer.
+	 */
 	usec_t last_read_age;
 	/**
 	 * FLEET_STATE_UPDATE: time since the last outage of the registry ended;
@@ -145,6 +148,18 @@
 
 /* Members and readers. */
 
+/** How a daemon reads the registry. */
+typedef enum fleet_role {
+	FLEET_FOLLOWER, /**< not at all: it gets the changes from a neighbour */
+	/** For itself; the registry answers when there is a change. */
+	FLEET_READER,
+	/**
+	 * For its data centre: the registry answers soon in any case, and each
+	 * answer is sent to the daemons there, with the changes.
+	 */
+	FLEET_CONFIRMER,
+} fleet_role_t;
+
 /** Members, and which of them read the registry; opaque. */
 typedef struct fleet fleet_t;
 
@@ -171,16 +186,24 @@
 /** Frees a fleet; NULL is allowed. */
 void fleet_free(fleet_t *f);
 /**
- * Updates the members from a received message: the sender, its revision and
- * when it last read the registry, and the members that it lists.
+ * Updates the members from a received message that was applied: the sender, its
+ * revision and the members that it lists. revision is that of this daemon's
+ * state. If it is not below the sender's, the sender's last read of the
+ * registry confirms this state too.
+ */
+void fleet_on_message(fleet_t *f, const fleet_msg_t *m, uint64_t revision,
+		      usec_t now);
+/**
+ * Records an answer of the registry to this daemon: its state has all changes
+ * up to the time as_of.
+ */
+void fleet_on_registry_read(fleet_t *f, usec_t as_of);
+/**
+ * Decides how this daemon reads the registry from now on. In each data centre
+ * one daemon confirms; if no confirmation comes, the others take over in order
+ * of rank.
  */
-void fleet_on_message(fleet_t *f, const fleet_msg_t *m, usec_t now);
-/** Records that the registry answered this daemon. */
-void fleet_on_registry_read(fleet_t *f, usec_t now);
-/** Decides whether this daemon reads the registry itself from now on. */
-bool fleet_should_read(fleet_t *f, usec_t now);
-/** Returns whether other daemons rely on what this daemon reads. */
-bool fleet_has_followers(const fleet_t *f, usec_t now);
+fleet_role_t fleet_role(fleet_t *f, usec_t now);
 /**
  * Estimates the size of the fleet in hosts, for the division of budgets: the
  * recent maximum of the members that were alive, plus a reserve.
@@ -189,10 +212,11 @@
 /** Counts the members that are alive, this daemon included. */
 size_t fleet_alive_count(const fleet_t *f, usec_t now);
 /**
- * Returns the time since the registry last answered this daemon or a daemon of
- * its data centre that reported it; below 0: never.
+ * Returns the age of the state: the time since this daemon is known to have had
+ * all changes, by an answer of the registry to it or to another daemon whose
+ * revision is not higher. Below 0: never.
  */
-usec_t fleet_last_read_age(const fleet_t *f, usec_t now);
+usec_t fleet_state_age(const fleet_t *f, usec_t now);
 /**
  * Chooses the targets of a gossip round and schedules the next round. Writes at
  * most max addresses, which are borrowed from f, and returns their number; 0 if
--- a/fleet/fleet_member.c
+++ b/fleet/fleet_member.c
@@ -1,9 +1,11 @@
 /**
  * @file fleet_member.c
  * Membership by gossip: each daemon periodically sends a few others a list of
- * members that it knows, with the time since each was heard from. In a data
- * centre of many hosts one daemon reads the registry and sends the changes to
- * the others; if it reports no read, the next ones take over in order of rank.
+ * members that it knows, with the time since each was heard from. In each data
+ * centre one daemon asks the registry often and tells the others that they have
+ * all changes; if that confirmation stops, the next ones take over in order of
+ * rank. A request that the registry never answers thus delays changes only
+ * until the takeover, even if all daemons lost their requests at once.
  */
 #include <stdlib.h>
 
@@ -32,13 +34,13 @@
 #define HOSTS_SPARE_DIVISOR 8
 #define FOLLOW_MIN_HOSTS 6 /* in smaller data centres each host reads */
 /* Fractions of apply_time, in which a published change must be in force. The
- * host of the second-lowest rank reads if no read was confirmed for
+ * host of the second-lowest rank takes over if its state was not confirmed for
  * TAKEOVER_FRACTION, each further host one step later: the registry may refuse
  * seven hosts in a row before apply_time is over. */
 #define TAKEOVER_FRACTION 0.45
 #define TAKEOVER_STEP_FRACTION 0.07
-/* Prevents a host from alternating between reading and following. */
-#define MIN_READ_TIME (3 * USEC_PER_SEC)
+/* Prevents a host from alternating between two roles. */
+#define MIN_CONFIRM_TIME (3 * USEC_PER_SEC)
 /* Fraction of apply_time: how long a host waits for a change that is forwarded
  * from host to host before it requests the change. */
 #define RELAY_WAIT_FRACTION 0.2
@@ -102,6 +104,12 @@
 	return NULL;
 }
 
+static void set_later(usec_t *at, usec_t t)
+{
+	if (t > *at)
+		*at = t;
+}
+
 static void update_member(fleet_t *f, str_t addr, str_t dc, usec_t at)
 {
 	fleet_member_t *m = find_member(f, addr);
@@ -118,8 +126,7 @@
 				       .dc = str_dup(dc),
 				       .rank = fleet_rank(addr) };
 	}
-	if (at > m->last_seen_at)
-		m->last_seen_at = at;
+	set_later(&m->last_seen_at, at);
 }
 
 bool fleet_member_alive(const fleet_member_t *m, usec_t now)
@@ -151,17 +158,25 @@
 	*m = f->members[--f->nmembers];
 }
 
-/* Records when a daemon of the own data centre last read the registry. */
-static void update_confirmed_reads(fleet_t *f, const fleet_msg_t *m, usec_t at)
+/* Handles the time of the sender's last read. Only a FLEET_STATE_UPDATE of the
+ * own data centre shows that its sender reads for this daemon too. */
+static void update_confirmations(fleet_t *f, const fleet_msg_t *m,
+				 uint64_t revision, usec_t now)
 {
-	if (at > f->reader_confirmed_at)
-		f->reader_confirmed_at = at;
-	if (at > f->lower_rank_confirmed_at &&
-	    fleet_rank(m->from) < fleet_rank(f->addr))
-		f->lower_rank_confirmed_at = at;
+	usec_t at = now - m->last_read_age;
+	bool same_dc = m->kind == FLEET_STATE_UPDATE && str_eq(m->dc, f->dc);
+
+	if (m->revision <= revision) {
+		set_later(&f->confirmed_at, at);
+		if (same_dc)
+			set_later(&f->dc_confirmed_at, at);
+	}
+	if (same_dc && fleet_rank(m->from) < fleet_rank(f->addr))
+		set_later(&f->lower_rank_confirmed_at, at);
 }
 
-void fleet_on_message(fleet_t *f, const fleet_msg_t *m, usec_t now)
+void fleet_on_message(fleet_t *f, const fleet_msg_t *m, uint64_t revision,
+		      usec_t now)
 {
 	fleet_member_t *from;
 	size_t i;
@@ -179,15 +194,15 @@
 	from = find_member(f, m->from);
 	if (from)
 		from->revision = m->revision;
-	/* Only readers of the own data centre count. */
-	if (m->kind == FLEET_STATE_UPDATE && m->last_read_age >= 0 &&
-	    str_eq(m->dc, f->dc))
-		update_confirmed_reads(f, m, now - m->last_read_age);
+	if (m->last_read_age >= 0)
+		update_confirmations(f, m, revision, now);
 }
 
-void fleet_on_registry_read(fleet_t *f, usec_t now)
+void fleet_on_registry_read(fleet_t *f, usec_t as_of)
 {
-	f->registry_read_at = now;
+	set_later(&f->registry_read_at, as_of);
+	set_later(&f->confirmed_at, as_of);
+	set_later(&f->dc_confirmed_at, as_of);
 }
 
 size_t fleet_alive_count(const fleet_t *f, usec_t now)
@@ -237,44 +252,39 @@
 	return (usec_t)(fraction * (double)f->apply_time);
 }
 
-bool fleet_should_read(fleet_t *f, usec_t now)
+/* Whether this host, of which lower_ranked others have a lower rank, must do
+ * their work: no confirmation came, or none of them has confirmed since. */
+static bool has_taken_over(fleet_t *f, size_t lower_ranked, usec_t now)
 {
-	size_t lower_ranked, n = fleet_dc_peers(f, &lower_ranked, now);
-	usec_t age = fleet_last_read_age(f, now), max_age;
-
-	if (n + 1 < FOLLOW_MIN_HOSTS || lower_ranked == 0)
-		return true;
-	max_age = fleet_apply_fraction(
-		f, TAKEOVER_FRACTION +
-			   TAKEOVER_STEP_FRACTION * (double)(lower_ranked - 1));
-	if (age < 0 || age > max_age)
-		f->read_until = now + MIN_READ_TIME;
-	/* After a takeover this host reads until one of a lower rank does. */
-	if (now < f->read_until &&
-	    now - f->lower_rank_confirmed_at >
-		    fleet_apply_fraction(f, TAKEOVER_FRACTION))
-		f->read_until = now + MIN_READ_TIME;
-	return now < f->read_until;
+	usec_t takeover_age = fleet_apply_fraction(f, TAKEOVER_FRACTION);
+	usec_t step = fleet_apply_fraction(f, TAKEOVER_STEP_FRACTION);
+	usec_t max_age = takeover_age + step * (usec_t)(lower_ranked - 1);
+	usec_t since = f->dc_confirmed_at ? f->dc_confirmed_at : f->started_at;
+
+	if (now - since > max_age)
+		f->confirm_until = now + MIN_CONFIRM_TIME;
+	else if (now < f->confirm_until &&
+		 now - f->lower_rank_confirmed_at > takeover_age)
+		f->confirm_until = now + MIN_CONFIRM_TIME;
+	return now < f->confirm_until;
 }
 
-bool fleet_has_followers(const fleet_t *f, usec_t now)
+fleet_role_t fleet_role(fleet_t *f, usec_t now)
 {
-	size_t lower_ranked;
+	size_t lower_ranked, n = fleet_dc_peers(f, &lower_ranked, now);
 
-	if (fleet_dc_peers(f, &lower_ranked, now) + 1 < FOLLOW_MIN_HOSTS)
-		return false;
-	/* At startup no peer is known yet, and every host reads. */
-	return lower_ranked == 0 ||
-	       (now - f->started_at > STARTUP_TIME && now < f->read_until);
+	if (lower_ranked == 0 || has_taken_over(f, lower_ranked, now))
+		return FLEET_CONFIRMER;
+	/* Without a confirmation, as at the start, it is not known whether
+	 * another host reads. */
+	if (n + 1 < FOLLOW_MIN_HOSTS || fleet_state_age(f, now) < 0)
+		return FLEET_READER;
+	return FLEET_FOLLOWER;
 }
 
-usec_t fleet_last_read_age(const fleet_t *f, usec_t now)
+usec_t fleet_state_age(const fleet_t *f, usec_t now)
 {
-	usec_t at = f->registry_read_at > f->reader_confirmed_at
-			    ? f->registry_read_at
-			    : f->reader_confirmed_at;
-
-	return at ? now - at : -1;
+	return f->confirmed_at ? now - f->confirmed_at : -1;
 }
 
 /* Returns a random alive member of the own data centre or of another one; NULL
--- a/fleet/libfleet.h
+++ b/fleet/libfleet.h
@@ -29,16 +29,18 @@
 	size_t nmembers;
 	usec_t started_at;
 	usec_t next_gossip_at;
-	usec_t registry_read_at;    /* last answer of the registry; 0: never */
-	usec_t reader_confirmed_at; /* last answer of the registry to another
-				       reader of the data centre; 0: never */
-	usec_t lower_rank_confirmed_at; /* the same, only for readers of a
-					   lower rank than this daemon's */
-	usec_t read_until;   /* this daemon reads the registry until then */
-	unsigned max_hosts;  /* recent maximum of the estimate of hosts */
-	usec_t max_hosts_at; /* when max_hosts was set */
-	usec_t behind_since; /* another member has a higher revision since
-				then; 0: none has */
+	usec_t registry_read_at; /* the state had all changes then, by an
+				    answer of the registry; 0: none */
+	usec_t confirmed_at;	 /* the same, by an answer to any daemon */
+	usec_t dc_confirmed_at;	 /* the same, by an answer to this daemon or one
+				    that reads for its data centre */
+	usec_t lower_rank_confirmed_at; /* last confirmation by a daemon of the
+					   data centre with a lower rank */
+	usec_t confirm_until; /* after a takeover, FLEET_CONFIRMER until then */
+	unsigned max_hosts;   /* recent maximum of the estimate of hosts */
+	usec_t max_hosts_at;  /* when max_hosts was set */
+	usec_t behind_since;  /* another member has a higher revision since
+				 then; 0: none has */
 	uint64_t behind_revision;  /* own revision at that time */
 	usec_t reply_period_at;	   /* start of the current REPLY_PERIOD */
 	size_t reply_period_bytes; /* sent as replies in that period */
--- a/standin/libworld.h
+++ b/standin/libworld.h
@@ -21,14 +21,16 @@
 
 /**
  * Takes over an accepted socket, to the store if s is NULL. Calls on_request
- * for each complete request and on_closed, if not NULL, before the connection
- * is freed.
+ * for each complete request, the next one only after world_conn_read_next(),
+ * and on_closed, if not NULL, before the connection is freed.
  */
 void world_conn_new(world_t *w, world_server_t *s, int fd,
 		    void (*on_request)(world_conn_t *),
 		    void (*on_closed)(world_conn_t *));
 /** Starts to read the next request of a connection. */
 void world_conn_read_next(world_conn_t *c);
+/** Calls fn with the connection after a time, unless it is freed before. */
+void world_conn_set_timer(world_conn_t *c, unsigned ms, event_callback_fn fn);
 /** Closes a connection, with a TCP reset if reset is set, and frees it. */
 void world_conn_free(world_conn_t *c, bool reset);
 /**
--- a/standin/world.c
+++ b/standin/world.c
@@ -185,7 +185,7 @@
 	return at ? strtoull(at + strlen(name), NULL, 10) : 0;
 }
 
-static void handle_store_request(world_conn_t *c)
+static void answer_store_request(world_conn_t *c)
 {
 	str_t target = http_msg_target(&c->msg);
 	world_t *w = c->w;
@@ -193,10 +193,6 @@
 	uint64_t ms = query_argument(target, w->protocol->wait_arg);
 	GString *error;
 
-	w->store_requests++;
-	c->silent |= w->store_silent;
-	if (c->silent)
-		return;
 	if (w->store_down) {
 		error = g_string_new("{\"error\":\"down\"}");
 		reply_json(c->bev, 503, error);
@@ -210,6 +206,32 @@
 	}
 }
 
+static void on_store_delay_over(evutil_socket_t fd, short what, void *arg)
+{
+	world_conn_t *c = arg;
+
+	(void)fd;
+	(void)what;
+	answer_store_request(c);
+	world_conn_read_next(c);
+}
+
+static void handle_store_request(world_conn_t *c)
+{
+	world_t *w = c->w;
+
+	w->store_requests++;
+	c->silent |= w->store_silent;
+	if (c->silent)
+		return;
+	if (w->store_delay_ms) {
+		world_conn_set_timer(c, w->store_delay_ms, on_store_delay_over);
+		return;
+	}
+	answer_store_request(c);
+	world_conn_read_next(c);
+}
+
 static void free_watches_of(world_t *w, const struct bufferevent *bev)
 {
 	guint i;
--- a/standin/world.h
+++ b/standin/world.h
@@ -129,6 +129,7 @@
 	 * on their connections, which stay open. Watches that wait go on.
 	 */
 	bool store_silent;
+	unsigned store_delay_ms; /**< time until the store handles a request */
 	unsigned store_requests;
 	GPtrArray *servers; /**< world_server_t */
 	GPtrArray *proxies; /**< world_proxy_t */
--- a/standin/world_server.c
+++ b/standin/world_server.c
@@ -17,7 +17,6 @@
 static void on_read(struct bufferevent *bev, void *arg)
 {
 	world_conn_t *c = arg;
-	bool store = !c->server;
 
 	if (c->answering)
 		return;
@@ -27,8 +26,6 @@
 		c->answering = true;
 		/* The fault of a server may make on_request() free c. */
 		c->on_request(c);
-		if (store)
-			world_conn_read_next(c);
 	}
 }
 
@@ -164,7 +161,7 @@
 	g_string_free(out, TRUE);
 }
 
-static void set_timer(world_conn_t *c, unsigned ms, event_callback_fn fn)
+void world_conn_set_timer(world_conn_t *c, unsigned ms, event_callback_fn fn)
 {
 	struct timeval tv = { ms / 1000, ms % 1000 * 1000 };
 
@@ -257,7 +254,8 @@
 	keep = write_fault(c, f, id, out);
 	write_text(c, out);
 	if (f == FAULT_SECOND_ANSWER)
-		set_timer(c, SECOND_ANSWER_DELAY_MS, on_second_answer);
+		world_conn_set_timer(c, SECOND_ANSWER_DELAY_MS,
+				     on_second_answer);
 	if (keep) {
 		world_conn_read_next(c);
 	} else {
@@ -280,7 +278,7 @@
 static void handle_server_request(world_conn_t *c)
 {
 	if (c->server->work_ms)
-		set_timer(c, c->server->work_ms, on_work_done);
+		world_conn_set_timer(c, c->server->work_ms, on_work_done);
 	else
 		send_answer(c);
 }
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -385,6 +385,83 @@
 	}
 }
 
+/* The sum of a metric over all its labels. */
+static double metric_sum(const char *text, const char *name)
+{
+	char **lines = g_strsplit(text, "\n", -1);
+	size_t n = strlen(name), i;
+	double sum = 0;
+
+	for (i = 0; lines[i]; i++)
+		if (strncmp(lines[i], name, n) == 0 &&
+		    (lines[i][n] == ' ' || lines[i][n] == '{'))
+			sum += g_ascii_strtod(strrchr(lines[i], ' '), NULL);
+	g_strfreev(lines);
+	return sum;
+}
+
+static double metric(world_t *w, const world_daemon_t *d, const char *name)
+{
+	world_answer_t a;
+	double sum;
+
+	world_request(w, d->admin, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n",
+		      ANSWER_TIMEOUT_MS, &a);
+	CU_ASSERT_EQUAL(a.status, 200);
+	sum = metric_sum(a.body->str, name);
+	clear(&a);
+	return sum;
+}
+
+/* The registry answers each request later than the daemon expects at first: the
+ * daemon allows more time, and new state gets into force. */
+static void test_slow_registry(void)
+{
+	enum { DELAY_MS = 900, SETTLE_MS = 6000 };
+	setup_t r = setup_new();
+
+	r.w->store_delay_ms = DELAY_MS;
+	publish_conf(r.w, CONF_HEAD CONF_ALL CONF_TAIL, 9);
+	world_publish_server(r.a[0], "draining");
+	world_run_loop(r.w, SETTLE_MS);
+	check_new_state(&r, r.d);
+	world_free(r.w);
+}
+
+/* The registry answers one daemon and not another one in another data centre.
+ * The latter gets the changes from its neighbour, and is told when there are
+ * none: its state does not grow old. */
+static void test_confirmed_by_neighbour(void)
+{
+	enum { HOSTS = 2, SILENT_MS = 8000, STEP_MS = 200 };
+	const double max_age_s = 3.0, slack_s = 0.5;
+	setup_t r = setup_new();
+	world_daemon_t *d[HOSTS] = { r.d };
+	double age;
+	unsigned ms;
+
+	r.w->use_proxies = true;
+	d[1] = world_start_daemon(r.w, "y");
+	CU_ASSERT(world_wait_ready(r.w, d[1], true, READY_TIMEOUT_MS));
+	world_run_loop(r.w, 1500);
+	world_proxy_set(r.w->proxies->pdata[0], WORLD_PROXY_DROP);
+	for (ms = 0; ms < SILENT_MS; ms += STEP_MS) {
+		world_run_loop(r.w, STEP_MS);
+		age = metric(r.w, d[1], "geraniumslip_state_age_seconds");
+		if (age < 0 || age > max_age_s + slack_s)
+			printf("\n  age %g at %u ms\n", age, ms);
+		CU_ASSERT(age >= 0 && age <= max_age_s + slack_s);
+	}
+	CU_ASSERT(metric(r.w, d[1],
+			 "geraniumslip_registry_requests_total{"
+			 "result=\"no answer in time\"}") > 0);
+	publish_conf(r.w, CONF_HEAD CONF_ALL CONF_TAIL, 9);
+	world_publish_server(r.a[0], "draining");
+	world_run_loop(r.w, 3500);
+	check_new_state(&r, d[1]);
+	world_free(r.w);
+}
+
 /* Without a configuration the daemon isn't ready, and answers 503 rather than
  * 404. */
 static void test_no_configuration(void)
@@ -541,21 +618,6 @@
 	world_free(r.w);
 }
 
-/* The sum of a metric over all its labels. */
-static double metric_sum(const char *text, const char *name)
-{
-	char **lines = g_strsplit(text, "\n", -1);
-	size_t n = strlen(name), i;
-	double sum = 0;
-
-	for (i = 0; lines[i]; i++)
-		if (strncmp(lines[i], name, n) == 0 &&
-		    (lines[i][n] == ' ' || lines[i][n] == '{'))
-			sum += g_ascii_strtod(strrchr(lines[i], ' '), NULL);
-	g_strfreev(lines);
-	return sum;
-}
-
 /* The counters agree with what servers and callers counted. */
 static void test_metrics(void)
 {
@@ -772,6 +834,9 @@
 		{ "the registry is down", test_registry_down },
 		{ "watches that the registry never answers",
 		  test_lost_watches },
+		{ "a slow registry", test_slow_registry },
+		{ "the state is confirmed by a neighbour",
+		  test_confirmed_by_neighbour },
 		{ "no configuration", test_no_configuration },
 		{ "planned stop", test_stop },
 		{ "a suspended daemon", test_suspended },
@@ -784,10 +849,12 @@
 		{ "metrics", test_metrics },
 		{ "operators", test_operators },
 	};
-	gchar *file = NULL;
+	gchar *file = NULL, *only = NULL;
 	const GOptionEntry entries[] = {
 		{ "known-red", 'r', 0, G_OPTION_ARG_FILENAME, &file,
 		  "Skip the tests that FILE lists as known failures", "FILE" },
+		{ "test", 't', 0, G_OPTION_ARG_STRING, &only,
+		  "Run only the test with this name", "NAME" },
 		G_OPTION_ENTRY_NULL
 	};
 	GOptionContext *ctx = g_option_context_new(NULL);
@@ -808,7 +875,8 @@
 	for (j = 0; j < sizeof(suites) / sizeof(suites[0]); j++) {
 		s = CU_add_suite(suites[j].name, suites[j].start, NULL);
 		for (i = 0; i < sizeof(tests) / sizeof(tests[0]); i++)
-			if (!known_red_skip(list, tests[i].name))
+			if ((!only || strcmp(only, tests[i].name) == 0) &&
+			    !known_red_skip(list, tests[i].name))
 				CU_add_test(s, tests[i].name, tests[i].fn);
 	}
 	CU_basic_set_mode(CU_BRM_VERBOSE);
@@ -817,5 +885,6 @@
 	CU_cleanup_registry();
 	g_free(list);
 	g_free(file);
+	g_free(only);
 	return failures ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -16,5 +16,6 @@
 void unit_outside(void);
 void unit_state(void);
 void unit_relay(void);
+void unit_roles(void);
 
 #endif
--- a/tests/unit_outside.c
+++ b/tests/unit_outside.c
@@ -470,10 +470,10 @@
 				if (!running[k] || !str_eq(to[j], str_of(addr)))
 					continue;
 				fleet_fill_message(f[i], &m, 1, now);
-				fleet_on_message(f[k], &m, now);
+				fleet_on_message(f[k], &m, 1, now);
 				m = (fleet_msg_t){ .kind = FLEET_HELLO_REPLY };
 				fleet_fill_message(f[k], &m, 1, now);
-				fleet_on_message(f[i], &m, now);
+				fleet_on_message(f[i], &m, 1, now);
 			}
 	}
 }
@@ -488,16 +488,16 @@
 		fleet_msg_t m = { .kind = FLEET_STATE_UPDATE };
 		size_t j;
 
-		if (!running[i] || !fleet_has_followers(f[i], now))
+		if (!running[i] || fleet_role(f[i], now) != FLEET_CONFIRMER)
 			continue;
 		fleet_on_registry_read(f[i], now);
 		fleet_fill_message(f[i], &m, 1, now);
 		for (j = 0; j < HOSTS; j++)
 			if (running[j] && j != i)
-				fleet_on_message(f[j], &m, now);
+				fleet_on_message(f[j], &m, 1, now);
 	}
 	for (i = 0; i < HOSTS; i++)
-		n += running[i] && fleet_should_read(f[i], now);
+		n += running[i] && fleet_role(f[i], now) != FLEET_FOLLOWER;
 	return n;
 }
 
@@ -538,7 +538,7 @@
 		CU_ASSERT_EQUAL(fleet_estimated_hosts(f[i], now),
 				HOSTS + HOSTS / 8);
 		/* The readers of both data centres fail at once. */
-		if (fleet_has_followers(f[i], now))
+		if (fleet_role(f[i], now) == FLEET_CONFIRMER)
 			running[i] = false;
 	}
 	for (until = now + 15 * USEC_PER_SEC; now < until;
@@ -602,7 +602,8 @@
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		n = 0;
 		for (j = 0; j < HOSTS; j++)
-			n += fleet_should_read(f[j], now + cases[i].after);
+			n += fleet_role(f[j], now + cases[i].after) !=
+			     FLEET_FOLLOWER;
 		CU_ASSERT(n >= cases[i].min_readers &&
 			  n <= cases[i].max_readers);
 	}
--- a/tests/unit_relay.c
+++ b/tests/unit_relay.c
@@ -59,7 +59,8 @@
 
 			fleet_fill_message(d->f[j], &m, OLD_REVISION, now);
 			if (i != j)
-				fleet_on_message(d->f[i], &m, now);
+				fleet_on_message(d->f[i], &m, OLD_REVISION,
+						 now);
 		}
 	return d;
 }
@@ -124,12 +125,13 @@
 
 	for (i = 1; i < d->n; i++) {
 		fleet_msg_t m = { .kind = FLEET_STATE_UPDATE };
+		uint64_t own = d->arrives_at[i] ? NEW_REVISION : OLD_REVISION;
 		str_t to;
 
 		if (d->dead[i])
 			continue;
 		fleet_fill_message(d->f[0], &m, NEW_REVISION, now);
-		fleet_on_message(d->f[i], &m, now);
+		fleet_on_message(d->f[i], &m, own, now);
 		k = 1 +
 		    (i + (size_t)(now / CHANGES_REQUEST_PERIOD)) % (d->n - 1);
 		if (k != i && !d->dead[k]) {
@@ -137,11 +139,9 @@
 					   d->arrives_at[k] ? NEW_REVISION
 							    : OLD_REVISION,
 					   now);
-			fleet_on_message(d->f[i], &m, now);
+			fleet_on_message(d->f[i], &m, own, now);
 		}
-		to = fleet_request_target(
-			d->f[i], d->arrives_at[i] ? NEW_REVISION : OLD_REVISION,
-			false, now);
+		to = fleet_request_target(d->f[i], own, false, now);
 		k = host_index(d, to);
 		if (to.sz && !d->dead[k] &&
 		    fleet_may_reply(d->f[k], bytes, now))
@@ -246,7 +246,7 @@
 				.sz,
 			0);
 		fleet_fill_message(d->f[0], &m, NEW_REVISION, now);
-		fleet_on_message(d->f[1], &m, now);
+		fleet_on_message(d->f[1], &m, OLD_REVISION, now);
 		fleet_request_target(d->f[1], OLD_REVISION, false, now);
 		now += cases[i].behind_time;
 		CU_ASSERT_EQUAL(
