Servers' replies: refuse deep nesting before the JSON library recurses

Callers of searches lost their connections: one server's reply, 2000 levels deep in a member of a hit, ended the daemon. A connection's thread has a stack of 256 KB; the library recurses for each level, up to 2048, when it writes the hit as text.

--- a/conf/conf_member.c
+++ b/conf/conf_member.c
@@ -1,6 +1,41 @@
 /** @file conf_member.c Type-checked access to members of JSON objects. */
 #include "member.h"
 
+/* Skips a string; p is after its opening quote. Returns the position of the
+ * closing quote, or end. */
+static const char *skip_string(const char *p, const char *end)
+{
+	for (; p < end && *p != '"'; p++)
+		if (*p == '\\' && p + 1 < end)
+			p++;
+	return p;
+}
+
+static bool is_too_deep(str_t text)
+{
+	const char *p = text.s, *end = text.s + text.sz;
+	size_t depth = 0;
+
+	for (; p < end; p++) {
+		if (*p == '"')
+			p = skip_string(p + 1, end);
+		else if (*p == '[' || *p == '{')
+			depth++;
+		else if ((*p == ']' || *p == '}') && depth)
+			depth--;
+		if (depth > MEMBER_MAX_DEPTH)
+			return true;
+	}
+	return false;
+}
+
+json_t *member_load(str_t text)
+{
+	if (text.sz == 0 || is_too_deep(text))
+		return NULL;
+	return json_loadb(text.s, text.sz, JSON_DECODE_ANY, NULL);
+}
+
 bool member_str(json_t *o, const char *key, str_t *v)
 {
 	json_t *j = json_object_get(o, key);
--- a/conf/member.h
+++ b/conf/member.h
@@ -11,6 +11,15 @@
 
 #include "base.h"
 
+/** Nested arrays and objects that member_load() accepts. */
+#define MEMBER_MAX_DEPTH 64
+
+/**
+ * Parses the JSON text of one value that another program sent; the caller drops
+ * the reference. NULL if the text is invalid, or nested deeper than
+ * MEMBER_MAX_DEPTH: the library recurses, and threads may have small stacks.
+ */
+json_t *member_load(str_t text);
 /**
  * Gets a string, which is valid as long as the object. Returns false, with *v
  * unchanged, if the member is missing or of another type.
--- a/daemon/dialect.c
+++ b/daemon/dialect.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "libdaemon.h"
+#include "member.h"
 
 #define PROBE_TIMEOUT_S 2
 #define READ_BUFFER_BYTES 16384 /* initial capacity */
@@ -178,7 +179,7 @@
 /* Parses {"hits":[...]}; NULL on another form or over MAX_REPLY_HITS. */
 static group_hits_t *read_group_hits(const char *text, size_t sz)
 {
-	json_t *root = json_loadb(text, sz, 0, NULL);
+	json_t *root = member_load((str_t){ text, sz });
 	json_t *hits = json_object_get(root, "hits");
 	size_t n = json_array_size(hits), i;
 	group_hits_t *p = group_hits_new();
--- a/daemon/outside_items.c
+++ b/daemon/outside_items.c
@@ -18,7 +18,7 @@
 bool outside_read_items(const outside_json_names_t *names, str_t body,
 			outside_items_t *items, arena_t *mem)
 {
-	json_t *o = json_loadb(body.s ? body.s : "", body.sz, 0, NULL);
+	json_t *o = member_load(body);
 	json_t *a = json_object_get(o, names->list);
 	bool ok = false;
 	size_t i;
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -21,6 +21,7 @@
 #define COLD_FACTOR 5.0 /* multiplies the service time of cold requests */
 #define HANG_USEC (30 * USEC_PER_SEC) /* service time of a hung request */
 #define BLOCKED_MAX 8
+#define NEST_DEPTH 2000 /* near the limit of the daemons' JSON library */
 
 /* A search request that is queued, runs, or whose reply is delayed. */
 typedef struct job {
@@ -53,6 +54,7 @@
 	 * without an answer. */
 	unsigned abort_requests;
 	unsigned wrong_id_replies; /* number of next replies with a wrong id */
+	unsigned nested_replies; /* number of next replies nested NEST_DEPTH */
 	/* Number of next requests that take HANG_USEC. */
 	unsigned hang_requests;
 	char blocked[BLOCKED_MAX][ADDR_HOST_MAX];
@@ -249,6 +251,30 @@
 	return 0;
 }
 
+static char *nested_text(void)
+{
+	GString *text = g_string_new(
+		"{\"hits\":[{\"id\":\"nested\",\"score\":1,\"more\":");
+	unsigned i;
+
+	for (i = 0; i < NEST_DEPTH; i++)
+		g_string_append_c(text, '[');
+	for (i = 0; i < NEST_DEPTH; i++)
+		g_string_append_c(text, ']');
+	g_string_append(text, "}]}");
+	return g_string_free(text, FALSE);
+}
+
+static char *reply_text(job_t *j)
+{
+	server_t *s = j->server;
+
+	if (s->nested_replies == 0)
+		return hits_text(j);
+	s->nested_replies--;
+	return nested_text();
+}
+
 static void finish_job(job_t *j, usec_t now, bool cancelled)
 {
 	usec_t delay = client_round_trip(j->r);
@@ -264,7 +290,7 @@
 	}
 	write_journal(j, cancelled ? "cancel" : "done");
 	set_reply(j->r, s, cancelled ? 499 : 200,
-		  cancelled ? strdup("{}") : hits_text(j));
+		  cancelled ? strdup("{}") : reply_text(j));
 	add_request_headers(j);
 	if (delay) {
 		j->reply_delayed = true;
@@ -428,6 +454,8 @@
 		(unsigned)http_arg_number(r, "cross", s->wrong_id_replies);
 	s->hang_requests =
 		(unsigned)http_arg_number(r, "hang", s->hang_requests);
+	s->nested_replies =
+		(unsigned)http_arg_number(r, "nest", s->nested_replies);
 	s->cold_requests =
 		(unsigned)http_arg_number(r, "cold", s->cold_requests);
 	block_client(s, http_arg(r, "cut"));
