Published state: one odd value leaves the other items readable

Reported by operators of systems like this one: another writer left one odd entry among those of the servers, and the readers stopped following the list.

It could happen here, with the project's own protocol: values are JSON inside the list, which was parsed as a whole, so a value nested too deep or with a number too large made every list and every answer to a watch unreadable. The platform's values are Base64 and were read one by one; an item without a readable value made its list unreadable in both. And with both protocols an id with line breaks got into a header of the requests to that address.

The list is now split into items without parsing their values; the members that the registry sets must be valid, a value that is not counts as an entry that names no server. Ids must be printable ASCII.

--- a/daemon/edge_state.c
+++ b/daemon/edge_state.c
@@ -33,7 +33,10 @@
 	char fault[OUTSIDE_FAULT_MAX] = "";
 	rt_entry_t entry;
 
-	if (it->deleted) {
+	if (!outside_is_server_id(id)) {
+		log_bad_item(it, "the server's id has other characters than "
+				 "printable ASCII");
+	} else if (it->deleted) {
 		rt_server_removed(e->rt, id, clock_now());
 	} else if (e->protocol->read_server(id, it->value, &entry, mem,
 					    fault)) {
--- a/daemon/outside.h
+++ b/daemon/outside.h
@@ -26,7 +26,7 @@
 /** An item of published state, in a list or as a change. */
 typedef struct outside_item {
 	str_t key;
-	str_t value;	   /**< bytes; empty for a deleted key */
+	str_t value;	   /**< bytes; empty if deleted or unreadable */
 	uint64_t revision; /**< of the last change of the key */
 	bool deleted;
 } outside_item_t;
@@ -88,8 +88,6 @@
 			    char fault[OUTSIDE_FAULT_MAX]);
 } outside_protocol_t;
 
-struct json_t;
-
 /** Names of JSON members and keys, for protocols whose lists are JSON. */
 typedef struct outside_json_names {
 	const char *list;	   /**< array of the items of a list */
@@ -99,8 +97,11 @@
 	const char *deleted;	   /**< true in a deleted item */
 	const char *config_key;	   /**< key of the configuration */
 	const char *server_prefix; /**< before the id in a server's key */
-	/** Reads the value of an item into mem; false if it has none. */
-	bool (*value)(struct json_t *item, str_t *value, arena_t *mem);
+	/**
+	 * Reads a value from its JSON text into mem; false if it is invalid.
+	 * The text may be that of any value, also one that cannot be parsed.
+	 */
+	bool (*value)(str_t text, str_t *value, arena_t *mem);
 } outside_json_names_t;
 
 /** Parses a list or changes into mem; false if the body is neither. */
@@ -109,6 +110,11 @@
 /** Classifies a key; for OUTSIDE_SERVER sets its id (borrowed from key). */
 outside_kind_t outside_key_kind(const outside_json_names_t *names, str_t key,
 				str_t *server_id);
+/**
+ * Returns whether a server's id may be sent as a header value: printable ASCII
+ * characters without blanks.
+ */
+bool outside_is_server_id(str_t id);
 /** Finds a protocol by name; NULL if there is none or the name is NULL. */
 const outside_protocol_t *outside_protocol_by_name(const char *name);
 
--- a/daemon/outside_items.c
+++ b/daemon/outside_items.c
@@ -1,44 +1,100 @@
-/** @file outside_items.c Parses published state for all JSON protocols. */
+/**
+ * @file outside_items.c
+ * Parses published state for all JSON protocols. Values come from any writer:
+ * only the members that the registry itself sets must be valid.
+ */
 #include <string.h>
 
 #include "member.h"
 #include "outside.h"
+#include "slice.h"
 
-static bool read_item(const outside_json_names_t *names, json_t *o,
+/* Gets the text of a string member, and of a number, of an object's text. */
+static bool read_str(str_t object, const char *key, str_t *v, arena_t *mem)
+{
+	json_t *o;
+	str_t text;
+	bool ok;
+
+	if (!slice_member(object, key, &text))
+		return false;
+	o = member_load(text);
+	ok = json_is_string(o);
+	if (ok)
+		*v = arena_str(mem, (str_t){ json_string_value(o),
+					     json_string_length(o) });
+	json_decref(o);
+	return ok;
+}
+
+static bool read_uint64(str_t object, const char *key, uint64_t *v)
+{
+	json_t *o;
+	str_t text;
+	bool ok;
+
+	if (!slice_member(object, key, &text))
+		return false;
+	o = member_load(text);
+	ok = json_is_integer(o) && json_integer_value(o) >= 0;
+	if (ok)
+		*v = (uint64_t)json_integer_value(o);
+	json_decref(o);
+	return ok;
+}
+
+static bool is_true(str_t object, const char *key)
+{
+	str_t text;
+
+	return slice_member(object, key, &text) && str_eq(text, STR("true"));
+}
+
+static bool read_item(const outside_json_names_t *names, str_t object,
 		      outside_item_t *to, arena_t *mem)
 {
-	if (!member_str(o, "key", &to->key) ||
-	    !member_uint64(o, "revision", &to->revision))
+	str_t text;
+
+	*to = (outside_item_t){ 0 };
+	if (!read_str(object, "key", &to->key, mem) ||
+	    !read_uint64(object, "revision", &to->revision))
 		return false;
-	to->key = arena_str(mem, to->key);
-	to->deleted = json_is_true(json_object_get(o, names->deleted));
-	return to->deleted || names->value(o, &to->value, mem);
+	to->deleted = is_true(object, names->deleted);
+	/* An unreadable value replaces the known one, like an invalid value. */
+	if (!to->deleted && (!slice_member(object, "value", &text) ||
+			     !names->value(text, &to->value, mem)))
+		to->value = (str_t){ 0 };
+	return true;
+}
+
+static size_t count_elements(str_t rest)
+{
+	size_t n = 0;
+	str_t element;
+
+	while (slice_next(&rest, &element))
+		n++;
+	return n;
 }
 
 bool outside_read_items(const outside_json_names_t *names, str_t body,
 			outside_items_t *items, arena_t *mem)
 {
-	json_t *o = member_load(body);
-	json_t *a = json_object_get(o, names->list);
-	bool ok = false;
-	size_t i;
-	json_t *v;
+	str_t array, rest, element;
 
 	*items = (outside_items_t){ 0 };
-	if (!a)
-		a = json_object_get(o, names->changes);
-	if (!json_is_array(a) ||
-	    !member_uint64(o, names->revision, &items->revision))
-		goto out;
-	items->more = json_is_true(json_object_get(o, names->more));
-	items->v = arena_alloc(mem, json_array_size(a) * sizeof(*items->v));
-	json_array_foreach(a, i, v)
-		if (!read_item(names, v, &items->v[items->n++], mem))
-			goto out;
-	ok = true;
-out:
-	json_decref(o);
-	return ok;
+	if (!slice_member(body, names->list, &array) &&
+	    !slice_member(body, names->changes, &array))
+		return false;
+	if (!slice_array(array, &rest) ||
+	    !read_uint64(body, names->revision, &items->revision))
+		return false;
+	items->more = is_true(body, names->more);
+	items->v = arena_alloc(mem, count_elements(rest) * sizeof(*items->v));
+	while (slice_next(&rest, &element))
+		if (!read_item(names, element, &items->v[items->n++], mem))
+			return false;
+	return rest.s == NULL;
 }
 
 outside_kind_t outside_key_kind(const outside_json_names_t *names, str_t key,
@@ -53,3 +109,13 @@
 	*server_id = (str_t){ key.s + prefix.sz, key.sz - prefix.sz };
 	return OUTSIDE_SERVER;
 }
+
+bool outside_is_server_id(str_t id)
+{
+	size_t i;
+
+	for (i = 0; i < id.sz; i++)
+		if (id.s[i] <= ' ' || id.s[i] > '~')
+			return false;
+	return id.sz > 0;
+}
--- a/daemon/outside_own.c
+++ b/daemon/outside_own.c
@@ -18,7 +18,7 @@
 		      bool allow_stale);
 static void watch_path(char path[OUTSIDE_PATH_MAX], uint64_t after,
 		       usec_t wait);
-static bool item_value(json_t *item, str_t *value, arena_t *mem);
+static bool item_value(str_t text, str_t *value, arena_t *mem);
 static bool read_items(str_t body, outside_items_t *items, arena_t *mem);
 static outside_kind_t kind(str_t key, str_t *server_id);
 static rt_conf_t *read_config(str_t value, char fault[OUTSIDE_FAULT_MAX]);
@@ -76,15 +76,9 @@
 }
 
 /* The value is any JSON value; it is returned as JSON text. */
-static bool item_value(json_t *item, str_t *value, arena_t *mem)
+static bool item_value(str_t text, str_t *value, arena_t *mem)
 {
-	json_t *v = json_object_get(item, "value");
-	char *text = v ? json_dumps(v, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
-
-	if (!text)
-		return false;
-	*value = arena_str(mem, str_of(text));
-	free(text);
+	*value = arena_str(mem, text);
 	return true;
 }
 
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -486,6 +486,97 @@
 	world_free(r.w);
 }
 
+/* Makes the text of an odd value: nested deeply, or with a part of a server's
+ * entry replaced. The caller frees it. */
+static char *odd_value(const world_server_t *s, const char *replaced,
+		       const char *by)
+{
+	enum { DEPTH = 100000 };
+	GString *text = g_string_new(NULL);
+	char *entry;
+	unsigned i;
+
+	if (!replaced) {
+		g_string_append(text, "{\"service\":");
+		for (i = 0; i < DEPTH; i++)
+			g_string_append_c(text, '[');
+		for (i = 0; i < DEPTH; i++)
+			g_string_append_c(text, ']');
+		g_string_append_c(text, '}');
+		return g_string_free(text, FALSE);
+	}
+	entry = s->w->protocol->format_entry(s, "ready");
+	g_string_append(text, entry);
+	CU_ASSERT(g_string_replace(text, replaced, by, 1) == 1);
+	g_free(entry);
+	return g_string_free(text, FALSE);
+}
+
+/*
+ * Another writer leaves one odd entry, of a server or as the configuration. It
+ * names no server and no configuration; all else that is published, before and
+ * after it, is followed, also by a daemon that starts later.
+ */
+static void test_odd_entries(void)
+{
+	static const struct {
+		const char *key;      /* NULL: that of the configuration */
+		const char *replaced; /* NULL: the value is deeply nested */
+		const char *by;
+	} cases[] = {
+		{ "servers/i-odd", NULL, NULL },
+		{
+			"servers/i-odd",
+			":3,",
+			":99999999999999999999999,",
+		},
+		{
+			"servers/i-odd",
+			":3,",
+			":1e999,",
+		},
+		{ "servers/i-odd", "127.0.0.1:", "127.0.0.1:70000" },
+		{ "servers/i-odd", "127.0.0.1:", "127.0.0.1:9999999999999999" },
+		{ "servers/i-odd\\r\\nX: y", ":3,", ":3 ," },
+		{ "servers/i-a-0", NULL, NULL },
+		{
+			"servers/i-a-0",
+			":3,",
+			":99999999999999999999999,",
+		},
+		{ NULL, NULL, NULL },
+		{
+			NULL,
+			":3,",
+			":99999999999999999999999,",
+		},
+	};
+	world_daemon_t *late;
+	char *value;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		setup_t r = setup_new();
+		const char *key =
+			cases[i].key ? cases[i].key : r.w->protocol->config_key;
+
+		wait_confirmed(&r);
+		value = odd_value(r.a[0], cases[i].replaced, cases[i].by);
+		world_put(r.w, key, value);
+		g_free(value);
+		world_run_loop(r.w, 200);
+		publish_conf(r.w, CONF_HEAD CONF_ALL CONF_TAIL, 9);
+		world_publish_server(r.a[0], "draining");
+		late = world_start_daemon(r.w, "x");
+		CU_ASSERT(world_wait_ready(r.w, late, true, READY_TIMEOUT_MS));
+		world_run_loop(r.w, 3000);
+		check_new_state(&r, r.d);
+		check_new_state(&r, late);
+		CU_ASSERT_EQUAL(waitpid(r.d->pid, NULL, WNOHANG), 0);
+		world_free(r.w);
+	}
+}
+
 /* Without a configuration the daemon isn't ready, and answers 503 rather than
  * 404. */
 static void test_no_configuration(void)
@@ -862,6 +953,7 @@
 		{ "a slow registry", test_slow_registry },
 		{ "the state is confirmed by a neighbour",
 		  test_confirmed_by_neighbour },
+		{ "odd entries of another writer", test_odd_entries },
 		{ "no configuration", test_no_configuration },
 		{ "planned stop", test_stop },
 		{ "a suspended daemon", test_suspended },
--- a/tests/fuzz_conf.c
+++ b/tests/fuzz_conf.c
@@ -1,7 +1,9 @@
 /** @file fuzz_conf.c libFuzzer target for the parsers of configurations. */
 #include <stdlib.h>
 
+#include "member.h"
 #include "routes.h"
+#include "slice.h"
 
 static void fuzz_routes(str_t text)
 {
@@ -22,6 +24,23 @@
 	rt_conf_unref(reparsed);
 }
 
+/* The slices of valid JSON are valid JSON. */
+static void fuzz_slices(str_t text)
+{
+	json_t *o = member_load(text), *part;
+	str_t rest, v;
+
+	slice_member(text, "revision", &v);
+	if (slice_array(text, &rest))
+		while (slice_next(&rest, &v)) {
+			part = o ? member_load(v) : NULL;
+			if (o && !part)
+				abort();
+			json_decref(part);
+		}
+	json_decref(o);
+}
+
 /* libFuzzer requires this name. NOLINTNEXTLINE */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t sz);
 
@@ -48,6 +67,7 @@
 	}
 	conf_free(c);
 	fuzz_routes(text);
+	fuzz_slices(text);
 	conf_store_apply_delta(s, text);
 	conf_store_free(s);
 	return 0;
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -17,5 +17,6 @@
 void unit_state(void);
 void unit_relay(void);
 void unit_roles(void);
+void unit_slice(void);
 
 #endif
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -22,6 +22,7 @@
 	unit_state();
 	unit_relay();
 	unit_roles();
+	unit_slice();
 	unit_walk();
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
--- a/tests/unit_outside.c
+++ b/tests/unit_outside.c
@@ -161,6 +161,11 @@
 	"\"slots\":" slots ",\"leaving\":" leaving ",\"warm_ms\":0,"           \
 	"\"incarnation\":" incarnation ",\"report\":4}"
 
+#define PLATFORM_ENTRY(addr, slots, warm)                                      \
+	"{\"service\":\"s\",\"address\":\"" addr                               \
+	"\",\"zone\":\"z\",\"slots\":" slots                                   \
+	",\"state\":\"ready\",\"warmupLeftMs\":" warm ",\"seq\":4}"
+
 static void test_platform_entries(void)
 {
 	static const struct {
@@ -185,6 +190,17 @@
 		  "\"z\",\"slots\":3,\"state\":\"ready\",\"warmupLeftMs\":0,"
 		  "\"born\":1.5}",
 		  false },
+		{ PLATFORM_ENTRY("10.0.0.1:0", "3", "0"), false },
+		{ PLATFORM_ENTRY("10.0.0.1:65535", "3", "0"), true },
+		{ PLATFORM_ENTRY("10.0.0.1:65536", "3", "0"), false },
+		{ PLATFORM_ENTRY("10.0.0.1:99999999999999999999", "3", "0"),
+		  false },
+		{ PLATFORM_ENTRY("10.0.0.1:80", "99999999999999999999", "0"),
+		  false },
+		{ PLATFORM_ENTRY("10.0.0.1:80", "4294967297", "0"), false },
+		{ PLATFORM_ENTRY("10.0.0.1:80", "-1", "0"), false },
+		{ PLATFORM_ENTRY("10.0.0.1:80", "3", "1e999"), false },
+		{ PLATFORM_ENTRY("10.0.0.1:80", "3", "1e300"), false },
 		{ "{\"service\":7}", false },
 		{ "[]", false },
 		{ "\xff\xfe", false },
@@ -220,6 +236,11 @@
 	} cases[] = {
 		{ OWN_ENTRY("\"10.0.0.1:80\"", "3", "true", "17"), NULL },
 		{ OWN_ENTRY("\"nowhere\"", "3", "true", "17"), "addr" },
+		{ OWN_ENTRY("\"10.0.0.1:65536\"", "3", "true", "17"), "addr" },
+		{ OWN_ENTRY("\"10.0.0.1:80\"", "4294967297", "true", "17"),
+		  "slots" },
+		{ OWN_ENTRY("\"10.0.0.1:80\"", "3", "true", "1e99"),
+		  "incarnation" },
 		{ OWN_ENTRY("\"10.0.0.1:80\"", "0", "true", "17"), "slots" },
 		{ OWN_ENTRY("\"10.0.0.1:80\"", "3", "1", "17"), "leaving" },
 		{ OWN_ENTRY("\"10.0.0.1:80\"", "3", "true", "1.5"),
