List of hosts: leave out the entries that cannot be read

The list is split into entries, and each is read by itself. A list without a version above 0 is refused; -1 was taken as the highest there is, after which no list was newer.

The stand-in of the platform learned both faults.

--- a/Makefile
+++ b/Makefile
@@ -116,7 +116,7 @@
 
 UNIT = $(wildcard tests/unit_*.c) tests/route_rig.c
 $(BUILD)/unit: $(call obj,$(BASE) $(CONF) $(CORE) $(WIRE) $(ROUTE) $(FLEET) \
-	$(PLATFORM) daemon/job.c daemon/edge_http.c daemon/outside.c \
+	$(PLATFORM) daemon/job.c daemon/host_list.c daemon/edge_http.c daemon/outside.c \
 	daemon/outside_items.c daemon/outside_own.c $(UNIT))
 	$(CC) -o $@ $^ $(LIBS) $(LIBS_TEST_PKGS)
 
--- a/daemon/libdaemon.h
+++ b/daemon/libdaemon.h
@@ -283,6 +283,13 @@
 /** Parses what is queued and frees the loader; l may be NULL. */
 void loader_stop(loader_t *l);
 
+/* host_list.c */
+/**
+ * Parses the published list of hosts into mem. Entries that cannot be read are
+ * left out and counted in bad. Returns false if the list has no version.
+ */
+bool host_list_parse(str_t text, host_list_t *l, size_t *bad, arena_t *mem);
+
 /* platform.c */
 /** Starts the threads that read the platform; NULL on failure. */
 platform_t *platform_start(engine_t *e, loader_t *l, const settings_t *s);
--- a/daemon/outside_items.c
+++ b/daemon/outside_items.c
@@ -9,17 +9,19 @@
 #include "outside.h"
 #include "slice.h"
 
-/* Gets the text of a string member, and of a number, of an object's text. */
-static bool read_str(str_t object, const char *key, str_t *v, arena_t *mem)
+/* Parses a member of an object's text; the caller drops the reference. */
+static json_t *load(str_t object, const char *key)
 {
-	json_t *o;
 	str_t text;
-	bool ok;
 
-	if (!slice_member(object, key, &text))
-		return false;
-	o = member_load(text);
-	ok = json_is_string(o);
+	return slice_member(object, key, &text) ? member_load(text) : NULL;
+}
+
+static bool read_str(str_t object, const char *key, str_t *v, arena_t *mem)
+{
+	json_t *o = load(object, key);
+	bool ok = json_is_string(o);
+
 	if (ok)
 		*v = arena_str(mem, (str_t){ json_string_value(o),
 					     json_string_length(o) });
@@ -29,14 +31,9 @@
 
 static bool read_uint64(str_t object, const char *key, uint64_t *v)
 {
-	json_t *o;
-	str_t text;
-	bool ok;
+	json_t *o = load(object, key);
+	bool ok = json_is_integer(o) && json_integer_value(o) >= 0;
 
-	if (!slice_member(object, key, &text))
-		return false;
-	o = member_load(text);
-	ok = json_is_integer(o) && json_integer_value(o) >= 0;
 	if (ok)
 		*v = (uint64_t)json_integer_value(o);
 	json_decref(o);
--- a/daemon/platform.c
+++ b/daemon/platform.c
@@ -229,60 +229,24 @@
 	atomic_store(&p->read_mode, mode);
 }
 
-static str_t member_str(arena_t *mem, json_t *o, const char *key)
-{
-	return arena_str(mem,
-			 str_of(json_string_value(json_object_get(o, key))));
-}
-
-static void read_daemons(json_t *a, host_list_t *l, arena_t *mem)
-{
-	size_t i;
-
-	l->ndaemons = json_array_size(a);
-	l->daemons = arena_alloc(mem, l->ndaemons * sizeof(*l->daemons));
-	for (i = 0; i < l->ndaemons; i++) {
-		json_t *o = json_array_get(a, i);
-
-		l->daemons[i].name = member_str(mem, o, "name");
-		l->daemons[i].dc = member_str(mem, o, "dc");
-		l->daemons[i].peer = member_str(mem, o, "peer");
-		l->daemons[i].leaving =
-			json_is_true(json_object_get(o, "leaving"));
-	}
-}
-
-static void read_leaving(json_t *a, host_list_t *l, arena_t *mem)
-{
-	size_t i;
-
-	l->nleaving_upstreams = json_array_size(a);
-	l->leaving_upstreams = arena_alloc(
-		mem, l->nleaving_upstreams * sizeof(*l->leaving_upstreams));
-	for (i = 0; i < l->nleaving_upstreams; i++)
-		l->leaving_upstreams[i] = arena_str(
-			mem, str_of(json_string_value(json_array_get(a, i))));
-}
-
 static bool hosts_handle(watch_t *w, str_t text)
 {
-	json_t *root =
-		json_loadb(text.s, text.sz, JSON_REJECT_DUPLICATES, NULL);
 	msg_t *m = msg_new(EV_LIST);
 	host_list_t *l = arena_alloc(&m->mem, sizeof(*l));
-	bool is_newer = false;
+	bool is_newer;
+	size_t bad = 0;
 
-	if (!json_is_integer(json_object_get(root, "version"))) {
+	if (!host_list_parse(text, l, &bad, &m->mem)) {
 		log_json(G_LOG_LEVEL_WARNING, "list of hosts refused", "%s",
-			 "");
+			 "\"fault\":\"no version above 0\"");
 		arena_free(&m->mem);
 		free(m);
-		goto out;
+		return false;
 	}
-	l->version =
-		(uint64_t)json_integer_value(json_object_get(root, "version"));
-	read_daemons(json_object_get(root, "daemons"), l, &m->mem);
-	read_leaving(json_object_get(root, "leaving"), l, &m->mem);
+	if (bad)
+		log_json(G_LOG_LEVEL_WARNING, "bad entries in list of hosts",
+			 "\"version\":%llu,\"entries\":%zu",
+			 (unsigned long long)l->version, bad);
 	is_newer = l->version > w->known_version;
 	if (is_newer)
 		w->known_version = l->version;
@@ -293,8 +257,6 @@
 	 */
 	m->ev.list.at = w->requested_at;
 	engine_post(w->platform->engine, m);
-out:
-	json_decref(root);
 	return is_newer;
 }
 
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -39,6 +39,8 @@
 	published_t stale_copy; /* state at the time when stale was set */
 	bool stale;		/* serve stale_copy */
 	bool outage;
+	bool silent; /* requests that come now are never answered */
+	bool odd;    /* the list of hosts begins with an odd entry */
 	uint64_t requests;
 	GPtrArray *watches;
 	char blocked[BLOCKED_MAX][ADDR_HOST_MAX];
@@ -56,14 +58,29 @@
 		     : served_state()->config->revision;
 }
 
+static void reply_hosts(http_request_t *r)
+{
+	static const char before[] = "\"daemons\":[";
+	static const char odd[] =
+		"{\"name\":\"odd\",\"dc\":\"dc1\",\"peer\":\"127.0.0.1:70000\","
+		"\"load\":1e999},";
+	const char *hosts = served_state()->hosts;
+	GString *text = g_string_new(hosts ? hosts : "{}");
+	char *at = strstr(text->str, before);
+
+	if (state.odd && at)
+		g_string_insert(text, at - text->str + (gssize)strlen(before),
+				odd);
+	http_reply_text(r, 200, text->str);
+	g_string_free(text, TRUE);
+}
+
 static void reply_value(http_request_t *r, bool hosts)
 {
 	char *text;
 
 	if (hosts) {
-		http_reply_text(r, 200,
-				served_state()->hosts ? served_state()->hosts
-						      : "{}");
+		reply_hosts(r);
 		return;
 	}
 	text = conf_store_index_text(served_state()->config);
@@ -263,6 +280,8 @@
 	if (strcmp(r->url, "/control/hosts") == 0)
 		publish_hosts(body, r->body->len);
 	state.outage = http_arg_number(r, "outage", state.outage);
+	state.silent = http_arg_number(r, "silent", state.silent);
+	state.odd = http_arg_number(r, "odd", state.odd);
 	set_stale(http_arg_number(r, "stale", state.stale));
 	if (cut && state.nblocked < BLOCKED_MAX)
 		g_strlcpy(state.blocked[state.nblocked++], cut, ADDR_HOST_MAX);
@@ -294,6 +313,8 @@
 	state.requests++;
 	if (state.outage || is_blocked(r))
 		r->abort_connection = true;
+	else if (state.silent)
+		http_suspend(r);
 	else if (strcmp(r->url, "/v1/config/index") == 0)
 		handle_watch(r, false);
 	else if (strcmp(r->url, "/v1/hosts") == 0)
