Numbers and addresses too large: records of a route, weights, idle times, members

Each of these was accepted:

- a route's limit of records (platform: up to 1e9): memory for that many records was allocated for each answer, and the daemon ended when there was none.
Memory is now allocated for the records that the parts hold.
- weights whose sum exceeds an int, in which the rotation adds them up.
- a server's Keep-Alive timeout that overflows in microseconds.
- addresses of other daemons in gossip that are no IP and port: a host name would make the message library wait for a name server.

Evidence: unit tests 'a huge limit of records' and the merge of no records ended the old code with 'out of memory' (exit by SIGABRT); rows for weights and members that the old code accepted.

--- a/conf/routes_model.c
+++ b/conf/routes_model.c
@@ -5,6 +5,9 @@
 
 #include "routes.h"
 
+/* Sum of the weights of a route; the rotation adds them up in an int. */
+#define MAX_WEIGHT_SUM 1000000000
+
 rt_conf_t *rt_conf_new(void)
 {
 	rt_conf_t *c = xcalloc(1, sizeof(*c));
@@ -87,7 +90,7 @@
 static void check_targets(const rt_conf_t *c, const rt_route_t *r,
 			  conf_faults_t *f)
 {
-	unsigned weight = 0;
+	uint64_t weight = 0;
 	size_t i;
 
 	if (r->ntargets == 0)
@@ -102,6 +105,9 @@
 	if (r->ntargets && r->mode == RT_ONE_SERVICE && weight == 0)
 		route_fault(f, r, CONF_E_RANGE, "split",
 			    "at least one weight must be above 0");
+	if (weight > MAX_WEIGHT_SUM)
+		route_fault(f, r, CONF_E_RANGE, "split",
+			    "the sum of all weights is too large");
 }
 
 static void check_shards(const rt_route_t *r, conf_faults_t *f)
--- a/daemon/edge_link.c
+++ b/daemon/edge_link.c
@@ -15,6 +15,7 @@
 #define CONNECT_TIMEOUT_MS 400 /* then the send fails with RT_NOT_SENT */
 /* Assumed idle timeout of a server that sends no Keep-Alive timeout. */
 #define DEFAULT_IDLE_TIME (5 * USEC_PER_SEC)
+#define MAX_IDLE_SECONDS 3600 /* of a server's Keep-Alive timeout */
 /* Idle connections are closed this long before the server's timeout; else its
  * close could cross with a new request. */
 #define IDLE_MARGIN (700 * USEC_PER_MSEC)
@@ -252,12 +253,17 @@
 {
 	str_t v = http_msg_get(&k->msg, "Keep-Alive");
 	char text[64];
+	unsigned long seconds;
 	const char *at;
 
 	str_copy(text, sizeof(text), v);
 	at = strstr(text, "timeout=");
-	if (at)
-		k->idle_time = (usec_t)strtoul(at + 8, NULL, 10) * USEC_PER_SEC;
+	if (!at)
+		return;
+	seconds = strtoul(at + 8, NULL, 10);
+	if (seconds > MAX_IDLE_SECONDS)
+		seconds = MAX_IDLE_SECONDS;
+	k->idle_time = (usec_t)seconds * USEC_PER_SEC;
 }
 
 static void append_header(GString *to, str_t name, str_t value)
--- a/fleet/fleet_member.c
+++ b/fleet/fleet_member.c
@@ -113,11 +113,14 @@
 static void update_member(fleet_t *f, str_t addr, str_t dc, usec_t at)
 {
 	fleet_member_t *m = find_member(f, addr);
+	char host[ADDR_HOST_MAX];
+	unsigned port;
 
-	if (str_eq(addr, f->addr) || addr.sz == 0)
+	if (str_eq(addr, f->addr))
 		return;
 	if (!m) {
-		if (f->nmembers == MAX_MEMBERS)
+		if (f->nmembers == MAX_MEMBERS ||
+		    !addr_split(addr, host, &port))
 			return;
 		f->members = xrealloc(f->members,
 				      (f->nmembers + 1) * sizeof(*f->members));
--- a/route/route.h
+++ b/route/route.h
@@ -350,11 +350,15 @@
 /** Times that shards waited for a server with capacity. */
 const rt_hist_t *rt_hist_waits(const rt_t *rt);
 
+/** Number of records that rt_merge() writes: at most top. */
+size_t rt_merged_records(const str_t *bodies, size_t n, size_t record,
+			 size_t top);
 /**
  * Merges n bodies of records: writes the greatest ones in byte order to out,
  * greatest first. Each record is record bytes long (at least 1); a shorter
  * rest of a body is ignored. At most top records (at least 1) are written; out
- * must have space for them. Returns the number of bytes written.
+ * must have space for rt_merged_records() of them. Returns the number of bytes
+ * written.
  */
 size_t rt_merge(const str_t *bodies, size_t n, size_t record, size_t top,
 		char *out);
--- a/route/rt_merge.c
+++ b/route/rt_merge.c
@@ -56,12 +56,25 @@
 	}
 }
 
+size_t rt_merged_records(const str_t *bodies, size_t n, size_t record,
+			 size_t top)
+{
+	size_t records = 0, i;
+
+	for (i = 0; i < n && records < top; i++)
+		records += bodies[i].sz / record;
+	return records < top ? records : top;
+}
+
 size_t rt_merge(const str_t *bodies, size_t n, size_t record, size_t top,
 		char *out)
 {
 	heap_t h = { .record = record };
 	size_t i, at, total;
 
+	top = rt_merged_records(bodies, n, record, top);
+	if (top == 0)
+		return 0;
 	h.v = xcalloc(top, sizeof(*h.v));
 	/* A shorter rest at the end of a body is ignored. */
 	for (i = 0; i < n; i++)
--- a/route/rt_query.c
+++ b/route/rt_query.c
@@ -256,9 +256,9 @@
 	const rt_route_t *r = q->route;
 	str_t *stamps = arena_alloc(&rt->scratch, q->ndone * sizeof(*stamps));
 	str_t *bodies = arena_alloc(&rt->scratch, q->ndone * sizeof(*bodies));
-	char *out = arena_alloc(&rt->scratch, r->max_records * r->record_bytes);
 	rt_answer_t a = { .outcome = RT_OUT_MERGED, .why = why };
-	size_t n = 0, i;
+	size_t n = 0, i, records;
+	char *out;
 
 	for (i = 0; i < q->nshards; i++) {
 		const rt_reply_t *rep = q->shards[i].reply;
@@ -271,6 +271,8 @@
 	a.stamps = stamps;
 	a.nstamps = n;
 	a.missing = q->nshards - n;
+	records = rt_merged_records(bodies, n, r->record_bytes, r->max_records);
+	out = arena_alloc(&rt->scratch, records * r->record_bytes);
 	a.body = (str_t){ out, rt_merge(bodies, n, r->record_bytes,
 					r->max_records, out) };
 	query_answer(rt, q, &a, now);
--- a/tests/unit_roles.c
+++ b/tests/unit_roles.c
@@ -133,6 +133,43 @@
 		fleet_free(f[i]);
 }
 
+/* Addresses that are none, in a message of another daemon, name no member: to
+ * connect to a host name would wait for a name server. */
+static void test_odd_addresses(void)
+{
+	static const struct {
+		const char *addr;
+		size_t alive; /* this daemon, the sender and perhaps another */
+	} cases[] = {
+		{ "10.0.0.9:7740", 3 },
+		{ "10.0.0.9:70000", 2 },
+		{ "10.0.0.9:0", 2 },
+		{ "10.0.0.9", 2 },
+		{ "peer.example:80", 2 },
+		{ "", 2 },
+		{ "10.0.0.9:99999999999999999999", 2 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		fleet_params_t p = { .addr = STR("10.0.0.1:1"),
+				     .dc = STR("a"),
+				     .apply_time = APPLY_TIME };
+		fleet_msg_t m = { .kind = FLEET_HELLO,
+				  .from = STR("10.0.0.2:1"),
+				  .dc = STR("a"),
+				  .last_read_age = -1,
+				  .nmembers = 1 };
+		fleet_t *f = fleet_new(&p, START);
+
+		m.members[0] = (fleet_member_info_t){ str_of(cases[i].addr),
+						      STR("a"), 0 };
+		fleet_on_message(f, &m, 0, START);
+		CU_ASSERT_EQUAL(fleet_alive_count(f, START), cases[i].alive);
+		fleet_free(f);
+	}
+}
+
 void unit_roles(void)
 {
 	CU_pSuite s = CU_add_suite("roles", NULL, NULL);
@@ -140,4 +177,5 @@
 	CU_add_test(s, "messages that confirm the state", test_confirmations);
 	CU_add_test(s, "takeover in a small data centre",
 		    test_takeover_in_small_dc);
+	CU_add_test(s, "addresses that are none", test_odd_addresses);
 }
--- a/tests/unit_route.c
+++ b/tests/unit_route.c
@@ -19,6 +19,9 @@
 		{ { "aab", "b", "" }, 5, "aa" }, /* shorter rests are ignored */
 		{ { "", "", "" }, 5, "" },
 		{ { "\xff\x01\x01\xff", "", "" }, 1, "\xff\x01" },
+		/* A limit that is too large to allocate memory for. */
+		{ { "aabb", "cc", "" }, (size_t)1 << 60, "ccbbaa" },
+		{ { "", "", "" }, SIZE_MAX, "" },
 	};
 	char out[64];
 	size_t i, j, n;
@@ -183,6 +186,25 @@
 	rig_free(r);
 }
 
+/* A route of shards that allows more records than there is memory for. */
+static void test_huge_record_limit(void)
+{
+	rig_t *r = rig_new(9, 1);
+	rt_conf_t *c = rig_conf(2, 0);
+	size_t i;
+
+	for (i = 0; i < c->nroutes; i++)
+		c->routes[i].max_records = (size_t)1 << 56;
+	rt_set_conf(r->rt, c, r->now);
+	rig_request(r, "/all/x", r);
+	CU_ASSERT_EQUAL(r->nsent, RIG_SHARDS);
+	for (i = 0; i < RIG_SHARDS; i++)
+		rig_end_send(r, i, RT_ANSWERED, "0123456789abcdef");
+	CU_ASSERT_EQUAL(r->answer.outcome, RT_OUT_MERGED);
+	CU_ASSERT_EQUAL(r->answer.missing, 0);
+	rig_free(r);
+}
+
 /* "No route" is answered only while the state is recent enough to know. */
 static void test_unknown_route_and_old_state(void)
 {
@@ -239,6 +261,7 @@
 		{ "/routes//split//split", CONF_E_RANGE, 5 },
 		{ "/routes//all//min_coverage", CONF_E_RANGE, 0 },
 		{ "/routes//once//deadline_ms", CONF_E_RANGE, 4 },
+		{ "/routes//split//split", CONF_E_RANGE, 5 },
 		{ "/revision", CONF_E_RANGE, 0 },
 	};
 	static conf_faults_t f;
@@ -270,6 +293,10 @@
 		case 6:
 			r->deadline = 0;
 			break;
+		case 7:
+			r->targets[0].weight = 900000000;
+			r->targets[1].weight = 900000000;
+			break;
 		default:
 			c->revision = 0;
 			break;
@@ -293,6 +320,7 @@
 		{ "route of a host and path", test_routes },
 		{ "a faulty configuration is refused", test_faulty_conf },
 		{ "request before any configuration", test_no_conf },
+		{ "a huge limit of records", test_huge_record_limit },
 		{ "unknown route and old state",
 		  test_unknown_route_and_old_state },
 		{ "complete answer from local servers", test_complete_answer },
