Answers without end: a limit of the memory for all answers that are received

Each answer was limited (1 MB of head, 4 MB of body, the deadline), all together were not: with 20 servers that send bodies without end to 80 requests, a daemon took 663 MB. The hosts have 160 to 512 MB, so it would have been killed, and its callers' connections cut.

All answers that are being received may take 32 MB; beyond that the largest is given up as lost.

New rows of 'faults of servers', which passed before too: an answer cut in its head never becomes a 200 (502 where the request must run once, else another server's answer), heads, bodies and other bytes without end, and a head of one byte each 10 ms.

--- a/daemon/edge_link.c
+++ b/daemon/edge_link.c
@@ -26,6 +26,9 @@
  * the new ones: with 2 s here, together they exceed the connection limits. */
 #define SPARE_IDLE_TIME (1 * USEC_PER_SEC)
 #define IDLE_CHECK_PERIOD (250 * USEC_PER_MSEC)
+/* Limit of all answers together that are being received; the smallest hosts
+ * have 160 MB. */
+#define MAX_RECEIVED_BYTES ((size_t)32 << 20)
 
 /** State of a connection. */
 typedef enum link_state {
@@ -55,6 +58,7 @@
 	bool had_answer; /* to this or an earlier request */
 	uint64_t aid;	 /* attempt; 0: none */
 	char id[64];	 /* of the request */
+	size_t received; /* bytes of the current answer */
 	usec_t last_used_at;
 	usec_t idle_time; /* idle timeout of the server */
 } link_t;
@@ -64,6 +68,7 @@
 	GHashTable *targets; /* number of the server to target_t */
 	GHashTable *busy;    /* attempt to link_t */
 	GHashTable *open;    /* set of all link_t */
+	size_t received;     /* sum of link_t::received */
 	struct event *idle_check;
 };
 
@@ -76,10 +81,17 @@
 		free(t);
 }
 
+static void set_received(link_t *k, size_t n)
+{
+	k->links->received += n - k->received;
+	k->received = n;
+}
+
 static void link_free(link_t *k)
 {
 	target_t *t = k->target;
 
+	set_received(k, 0);
 	if (k->state == LINK_IDLE)
 		g_queue_remove(&t->idle, k);
 	if (k->aid)
@@ -350,6 +362,7 @@
 	rt_reply_t *reply = NULL;
 	bool keep = k->msg.keep_alive && !k->target->removed && r != RT_MOVED;
 
+	set_received(k, 0);
 	if (evbuffer_get_length(in)) {
 		log_stray_answer(k, "bytes after the answer");
 		keep = false;
@@ -369,6 +382,37 @@
 	}
 }
 
+static link_t *largest_answer(const links_t *l)
+{
+	link_t *largest = NULL;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, l->open);
+	while (g_hash_table_iter_next(&it, &v, NULL)) {
+		link_t *k = v;
+
+		if (!largest || k->received > largest->received)
+			largest = k;
+	}
+	return largest;
+}
+
+/* Counts the bytes of an incomplete answer. If all answers together are too
+ * large, gives up the largest, which may be this one. */
+static void count_received(link_t *k)
+{
+	links_t *l = k->links;
+	link_t *largest;
+
+	set_received(k, k->msg.text->len + k->msg.body->len);
+	if (l->received <= MAX_RECEIVED_BYTES)
+		return;
+	largest = largest_answer(l);
+	log_stray_answer(largest, "too large beside others");
+	fail_link(largest, RT_LOST);
+}
+
 static void read_answer(link_t *k)
 {
 	struct evbuffer *in = bufferevent_get_input(k->bev);
@@ -379,8 +423,10 @@
 			fail_link(k, RT_LOST);
 			return;
 		}
-		if (!k->msg.done)
+		if (!k->msg.done) {
+			count_received(k);
 			return;
+		}
 		if (k->msg.parser.status_code >= 200 && answers_request(k))
 			break;
 		/* An informational answer, or the answer to an earlier request:
--- a/standin/libworld.h
+++ b/standin/libworld.h
@@ -31,6 +31,8 @@
 void world_conn_read_next(world_conn_t *c);
 /** Calls fn with the connection after a time, unless it is freed before. */
 void world_conn_set_timer(world_conn_t *c, unsigned ms, event_callback_fn fn);
+/** Begins an answer with a header line without end, a byte each 10 ms. */
+void world_conn_trickle(world_conn_t *c);
 /** Closes a connection, with a TCP reset if reset is set, and frees it. */
 void world_conn_free(world_conn_t *c, bool reset);
 /**
--- a/standin/world.c
+++ b/standin/world.c
@@ -224,6 +224,10 @@
 	c->silent |= w->store_silent;
 	if (c->silent)
 		return;
+	if (w->store_trickles) {
+		world_conn_trickle(c);
+		return;
+	}
 	if (w->store_delay_ms) {
 		world_conn_set_timer(c, w->store_delay_ms, on_store_delay_over);
 		return;
--- a/standin/world.h
+++ b/standin/world.h
@@ -31,6 +31,13 @@
 	FAULT_STATUS_500, /**< runs the request, then status 500 */
 	/** Status 421: the request is for another server. */
 	FAULT_WRONG_SERVER,
+	FAULT_CUT_HEAD, /**< closes the connection within the answer's head */
+	/** A header line, or a body without length, or bytes that are no
+	 * answer: without end, as fast as the caller reads. */
+	FAULT_ENDLESS_HEAD,
+	FAULT_ENDLESS_BODY,
+	FAULT_ENDLESS_JUNK,
+	FAULT_TRICKLE, /**< a header line without end, a byte each 10 ms */
 	FAULT_MAX,
 } server_fault_t;
 
@@ -129,6 +136,8 @@
 	 * on their connections, which stay open. Watches that wait go on.
 	 */
 	bool store_silent;
+	/** The store answers each request with a head line without end. */
+	bool store_trickles;
 	unsigned store_delay_ms; /**< time until the store handles a request */
 	unsigned store_requests;
 	GPtrArray *servers; /**< world_server_t */
--- a/standin/world_server.c
+++ b/standin/world_server.c
@@ -9,6 +9,7 @@
 #include "standin.h"
 
 #define SECOND_ANSWER_DELAY_MS 60
+#define TRICKLE_MS 10
 /* The default of the setting apply_limit_ms, the time in which daemons apply
  * published state, and 500 ms of slack for a slow machine. */
 #define DRAIN_LIMIT_MS (3000 + 500)
@@ -171,6 +172,63 @@
 	evtimer_add(c->timer, &tv);
 }
 
+/* Writes more bytes of an answer without end, until the caller closes. */
+static void write_more(struct bufferevent *bev, void *arg)
+{
+	static char bytes[16384];
+
+	(void)arg;
+	memset(bytes, 'a', sizeof(bytes));
+	evbuffer_add(bufferevent_get_output(bev), bytes, sizeof(bytes));
+}
+
+static void on_trickle(evutil_socket_t fd, short what, void *arg)
+{
+	world_conn_t *c = arg;
+
+	(void)fd;
+	(void)what;
+	evbuffer_add(bufferevent_get_output(c->bev), "a", 1);
+	world_conn_set_timer(c, TRICKLE_MS, on_trickle);
+}
+
+void world_conn_trickle(world_conn_t *c)
+{
+	evbuffer_add_printf(bufferevent_get_output(c->bev),
+			    "HTTP/1.1 200 X\r\nJunk: ");
+	world_conn_set_timer(c, TRICKLE_MS, on_trickle);
+}
+
+/* Writes the start of an answer without end; false for other faults. */
+static bool write_endless(world_conn_t *c, server_fault_t f, const char *id)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+
+	switch (f) {
+	case FAULT_TRICKLE:
+		world_conn_trickle(c);
+		return true;
+	case FAULT_ENDLESS_HEAD:
+		evbuffer_add_printf(out, "HTTP/1.1 200 X\r\nJunk: ");
+		break;
+	case FAULT_ENDLESS_BODY:
+		evbuffer_add_printf(out,
+				    "HTTP/1.1 200 X\r\n%s: %s\r\n"
+				    "%s: %s.%s\r\n\r\n",
+				    header(c->server, OUTSIDE_REQUEST_ID), id,
+				    header(c->server, OUTSIDE_SERVER_STAMP),
+				    c->server->id, id);
+		break;
+	case FAULT_ENDLESS_JUNK:
+		evbuffer_add_printf(out, "junk");
+		break;
+	default:
+		return false;
+	}
+	bufferevent_setcb(c->bev, on_read, write_more, on_event, c);
+	return true;
+}
+
 /* Writes the answer for a fault; returns true if the connection stays open. */
 static bool write_fault(world_conn_t *c, server_fault_t f, const char *id,
 			GString *out)
@@ -180,6 +238,11 @@
 	case FAULT_TRUNCATED:
 		append_answer(out, c->server, id, 200, false);
 		return false;
+	case FAULT_CUT_HEAD:
+		append_answer(out, c->server, id, 200, true);
+		g_string_truncate(out, strstr(out->str, "Content-Length") -
+					       out->str + 10);
+		return false;
 	case FAULT_TRAILING_BYTES:
 		append_answer(out, c->server, id, 200, true);
 		g_string_append(out, "HTTP/1.1 200 X\r\nContent-Length: 1");
@@ -245,7 +308,7 @@
 	str_copy(id, sizeof(id), rid);
 	if (f != FAULT_NOT_RUN && f != FAULT_WRONG_SERVER)
 		count_run(c, id);
-	if (f == FAULT_NO_ANSWER)
+	if (f == FAULT_NO_ANSWER || write_endless(c, f, id))
 		goto out;
 	if (f == FAULT_RESET) {
 		world_conn_free(c, true);
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -151,6 +151,16 @@
 		{ FAULT_STATUS_500, "/once/", 500, 1 },
 		{ FAULT_WRONG_SERVER, "/one/", 200, 1 },
 		{ FAULT_WRONG_SERVER, "/once/", 200, 1 },
+		{ FAULT_CUT_HEAD, "/one/", 200, 2 },
+		{ FAULT_CUT_HEAD, "/once/", 502, 1 },
+		{ FAULT_ENDLESS_HEAD, "/one/", 200, 2 },
+		{ FAULT_ENDLESS_HEAD, "/once/", 502, 1 },
+		{ FAULT_ENDLESS_BODY, "/one/", 200, 2 },
+		{ FAULT_ENDLESS_BODY, "/once/", 502, 1 },
+		{ FAULT_ENDLESS_JUNK, "/one/", 200, 2 },
+		{ FAULT_ENDLESS_JUNK, "/once/", 502, 1 },
+		{ FAULT_TRICKLE, "/one/", 200, 2 },
+		{ FAULT_TRICKLE, "/once/", 504, 1 },
 	};
 	char bytes[256], id[32];
 	unsigned status;
@@ -225,6 +235,57 @@
 	CU_FAIL("the state is not confirmed");
 }
 
+/* Peak of a process's resident memory in kilobytes. */
+static unsigned long peak_memory_kb(pid_t pid)
+{
+	char path[48], *text = NULL, *at;
+	unsigned long kb = 0;
+
+	snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+	if (g_file_get_contents(path, &text, NULL, NULL) &&
+	    (at = strstr(text, "VmHWM:")))
+		kb = strtoul(at + strlen("VmHWM:"), NULL, 10);
+	g_free(text);
+	return kb;
+}
+
+/* All servers send bodies without end to many requests at once. The daemon's
+ * memory stays within that of a small host, and later requests are served. */
+static void test_endless_answers(void)
+{
+	enum { SERVERS = 20, CALLERS = 80, MAX_MEMORY_KB = 160 * 1024 };
+	struct bufferevent *callers[CALLERS];
+	setup_t r = setup_new();
+	unsigned long kb;
+	size_t i;
+
+	for (i = 3; i < SERVERS; i++)
+		world_start_server(r.w, i % 2 ? "a" : "b", "x");
+	world_run_loop(r.w, 1500);
+	for (i = 0; i < SERVERS; i++) {
+		world_server_t *s = r.w->servers->pdata[i];
+
+		s->fault = FAULT_ENDLESS_BODY;
+		s->faulty_requests = UINT_MAX;
+	}
+	for (i = 0; i < CALLERS; i++) {
+		callers[i] = world_connect(r.w, r.d->listen);
+		world_write(r.w, callers[i], GET("/all/x", "endless"));
+	}
+	world_run_loop(r.w, 2000);
+	for (i = 0; i < SERVERS; i++)
+		((world_server_t *)r.w->servers->pdata[i])->faulty_requests = 0;
+	for (i = 0; i < CALLERS; i++)
+		bufferevent_free(callers[i]);
+	kb = peak_memory_kb(r.d->pid);
+	if (kb == 0 || kb > MAX_MEMORY_KB)
+		printf("\n  peak memory %lu kB\n", kb);
+	CU_ASSERT(kb > 0 && kb <= MAX_MEMORY_KB);
+	world_run_loop(r.w, 3000);
+	CU_ASSERT_EQUAL(request_status(&r, GET("/all/x", "after")), 200);
+	world_free(r.w);
+}
+
 /* Valid and invalid requests of callers. */
 static void test_callers(void)
 {
@@ -401,37 +462,50 @@
 
 /*
  * A change has ended the watches of all daemons at the same moment, and the
- * registry never answers the next ones, though it answers later requests. What
- * is published then must be in force within apply_limit_ms, which is 3 s.
+ * registry never answers the next ones, or never ends its answers, though it
+ * answers later requests. What is published then must be in force within
+ * apply_limit_ms, which is 3 s.
  */
 static void test_lost_watches(void)
 {
-	enum { HOSTS = 4, LOST_MS = 1500, APPLY_MS = 3000, SLACK_MS = 500 };
-	/* Data centres of the daemons: neighbours, or each one alone. */
-	static const char *const dcs[][HOSTS] = { { "x", "x", "x", "x" },
-						  { "x", "y", "z", "u" } };
-	world_daemon_t *d[HOSTS];
+	enum { MAX_HOSTS = 8, LOST_MS = 1500, APPLY_MS = 3000, SLACK_MS = 500 };
+	static const struct {
+		size_t hosts;
+		bool same_dc; /* else each daemon is alone in its data centre */
+		bool trickles;
+	} cases[] = {
+		{ 4, true, false },
+		{ 4, false, false },
+		{ MAX_HOSTS, true, false }, /* most daemons follow one */
+		{ 4, true, true },
+	};
+	world_daemon_t *d[MAX_HOSTS];
+	char dc[2] = "x";
 	size_t i, j;
 
-	for (i = 0; i < sizeof(dcs) / sizeof(dcs[0]); i++) {
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		setup_t r = setup_new();
 
 		d[0] = r.d;
-		for (j = 1; j < HOSTS; j++)
-			d[j] = world_start_daemon(r.w, dcs[i][j]);
-		for (j = 1; j < HOSTS; j++)
+		for (j = 1; j < cases[i].hosts; j++) {
+			dc[0] = (char)(cases[i].same_dc ? 'x' : 'a' + j);
+			d[j] = world_start_daemon(r.w, dc);
+		}
+		for (j = 1; j < cases[i].hosts; j++)
 			CU_ASSERT(world_wait_ready(r.w, d[j], true,
 						   READY_TIMEOUT_MS));
 		world_run_loop(r.w, 1500);
 		world_put(r.w, "op/other", "a change ends the watches");
 		world_run_loop(r.w, 50);
-		r.w->store_silent = true;
+		r.w->store_trickles = cases[i].trickles;
+		r.w->store_silent = !cases[i].trickles;
 		world_run_loop(r.w, LOST_MS);
+		r.w->store_trickles = false;
 		r.w->store_silent = false;
 		publish_conf(r.w, CONF_HEAD CONF_ALL CONF_TAIL, 9);
 		world_publish_server(r.a[0], "draining");
 		world_run_loop(r.w, APPLY_MS + SLACK_MS);
-		for (j = 0; j < HOSTS; j++)
+		for (j = 0; j < cases[i].hosts; j++)
 			check_new_state(&r, d[j]);
 		world_free(r.w);
 	}
@@ -623,18 +697,20 @@
  * The process is suspended between two watches of the registry, and a server
  * begins to drain meanwhile. After the resume a request is already waiting: the
  * daemon must first request changes from the registry, or it would send the
- * request to the draining server. If the registry is down, it serves the
- * request with the state that it has.
+ * request to the draining server. If the registry is down or silent, it serves
+ * the request with the state that it has.
  */
 static void test_suspended(void)
 {
 	static const struct {
 		bool registry_down;
+		bool registry_silent;
 		unsigned suspended_ms;
 		unsigned draining_runs;
 	} cases[] = {
-		{ false, 1600, 0 },
-		{ true, 1600, 1 },
+		{ false, false, 1600, 0 },
+		{ true, false, 1600, 1 },
+		{ false, true, 1600, 1 },
 	};
 	struct bufferevent *bev;
 	world_answer_t a;
@@ -648,6 +724,7 @@
 		kill(r.d->pid, SIGSTOP);
 		world_publish_server(r.a[0], "draining");
 		r.w->store_down = cases[i].registry_down;
+		r.w->store_silent = cases[i].registry_silent;
 		bev = world_connect(r.w, r.d->listen);
 		world_write(r.w, bev, GET("/one/x", "frozen"));
 		world_run_loop(r.w, cases[i].suspended_ms);
@@ -942,6 +1019,7 @@
 	} tests[] = {
 		{ "answers of one and of all shards", test_answers },
 		{ "faults of servers", test_faults },
+		{ "answers without end", test_endless_answers },
 		{ "valid and invalid requests", test_callers },
 		{ "pipelined requests", test_pipeline },
 		{ "a caller closes its connection", test_caller_closes },
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -59,7 +59,7 @@
 	GHashTable *not_run; /* ids of requests answered with status 503 */
 	unsigned version;    /* of the configuration published last */
 	bool has_route_one;  /* the configuration has the route "one" */
-	bool silence;	     /* the store swallows requests now and then */
+	bool silence;	     /* the option --silence */
 	bool finished;	     /* send no more requests */
 	uint64_t sent;	     /* requests */
 	uint64_t answered;   /* requests, with any status */
@@ -262,7 +262,8 @@
 		s->work_ms = random_below(r, 3) ? 2 : 60 + random_below(r, 300);
 		break;
 	default:
-		s->fault = (server_fault_t)random_below(r, FAULT_MAX);
+		s->fault = (server_fault_t)random_below(
+			r, r->silence ? FAULT_MAX : FAULT_CUT_HEAD);
 		s->faulty_requests = 1 + random_below(r, 6);
 		break;
 	}
@@ -575,7 +576,10 @@
 		{ "proxies", 'p', 0, G_OPTION_ARG_NONE, &o.proxies,
 		  "Disturb connections to the store and to servers", NULL },
 		{ "silence", 0, 0, G_OPTION_ARG_NONE, &o.silence,
-		  "Let the store swallow requests now and then", NULL },
+		  "Let the store swallow requests, and servers break off in "
+		  "the "
+		  "head of an answer or never end one",
+		  NULL },
 		{ "speech", 0, 0, G_OPTION_ARG_STRING, &o.protocol,
 		  "Protocol of the stand-ins: platform or own", "NAME" },
 		G_OPTION_ENTRY_NULL
