Searches: a time limit for bodies that never end; tests with raw answers

A server whose body comes a byte at a time held a connection and its thread for as long as it sent (neon limits each read, not all of them); with all connections of a server held, its group had one server less. The same of the platform: the daemon's watch never ended, and it followed neither configuration nor list.

A reply is now given up 0.5 s after its deadline, an answer of the platform 3 s after its request.

Evidence: unit 'answers that end early or never', against a raw socket: the body of a byte each 10 ms did not return in 60 s before. The other rows passed before too: cut in the head, short, chunked without an end, bytes without end at full speed; none becomes a result.

--- a/daemon/dialect.c
+++ b/daemon/dialect.c
@@ -10,6 +10,8 @@
 
 #define PROBE_TIMEOUT_S 2
 #define READ_BUFFER_BYTES 16384 /* initial capacity */
+/* A reply whose body is not complete by then after the deadline is given up. */
+#define LATE_REPLY_TIME (500 * USEC_PER_MSEC)
 #define ATTEMPT_ID_SZ 24 /* bytes of an attempt's id in hex, with null byte */
 #define HTTP_CLIENT_CLOSED_REQUEST 499 /* a server's reply after a cancel */
 
@@ -133,7 +135,7 @@
 		(long long)(time_left_ms > 0 ? time_left_ms : 1));
 }
 
-static char *read_body(ne_request *req, size_t *sz)
+static char *read_body(ne_request *req, usec_t give_up_at, size_t *sz)
 {
 	size_t capacity = READ_BUFFER_BYTES, n = 0;
 	char *buf = xmalloc(capacity);
@@ -143,7 +145,8 @@
 		got = ne_read_response_block(req, buf + n, capacity - n);
 		if (got == 0)
 			break;
-		if (got < 0 || n + (size_t)got > MAX_REPLY_BYTES)
+		if (got < 0 || n + (size_t)got > MAX_REPLY_BYTES ||
+		    clock_now() > give_up_at)
 			goto err;
 		n += (size_t)got;
 		if (n == capacity) {
@@ -221,7 +224,7 @@
 	const char *why = ne_get_response_header(req, "Gs-Refused");
 	int code = ne_get_status(req)->code;
 	size_t sz = 0;
-	char *text = read_body(req, &sz);
+	char *text = read_body(req, j->deadline + LATE_REPLY_TIME, &sz);
 	result_t r = RES_ERROR;
 
 	if (!text || ne_end_request(req) != NE_OK) {
--- a/daemon/platform.c
+++ b/daemon/platform.c
@@ -15,6 +15,7 @@
 
 #define LONG_POLL_MS 500 /* how long the platform may delay an answer */
 #define READ_TIMEOUT_S 2
+#define ANSWER_TIMEOUT (3 * USEC_PER_SEC) /* for all of an answer */
 #define RETRY_DELAY (200 * USEC_PER_MSEC)
 #define MAX_VALUE_BYTES ((size_t)1 << 20)     /* of a response body */
 #define MODE_POLL_PERIOD (20 * USEC_PER_MSEC) /* while reading is off */
@@ -76,7 +77,8 @@
 		got = ne_read_response_block(req, buf + n,
 					     MAX_VALUE_BYTES + 1 - n);
 		n += got > 0 ? (size_t)got : 0;
-	} while (got > 0 && n <= MAX_VALUE_BYTES);
+	} while (got > 0 && n <= MAX_VALUE_BYTES &&
+		 clock_now() - w->requested_at < ANSWER_TIMEOUT);
 	if (got != 0 || n > MAX_VALUE_BYTES || ne_end_request(req) != NE_OK)
 		goto err;
 	*status = ne_get_status(req)->code;
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -18,5 +18,6 @@
 void unit_relay(void);
 void unit_roles(void);
 void unit_slice(void);
+void unit_dialect(void);
 
 #endif
