Registry: date lists by their first page; an old watch that was lost is no outage

A list of several pages was dated by the request of its last page, though its state is that of the first. And a reader's long watch that was lost is found after 20 s: that says nothing about the registry now, but was taken for an outage, after which servers that are removed stay usable for two seconds.

Lists are dated by their first page. The timeout of a long watch is no outage while others confirm the state.

--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -34,6 +34,8 @@
 #define BACKOFF_MIN (150 * USEC_PER_MSEC)
 #define BACKOFF_MAX (1500 * USEC_PER_MSEC)
 #define BACKOFF_MAX_SHARE 0.5
+/* A state of at most this age is confirmed by somebody. */
+#define CONFIRMED_SHARE 0.5
 #define HTTP_GONE 410
 #define MAX_ANSWER_BYTES ((size_t)16 << 20)
 
@@ -51,6 +53,7 @@
 	bool available; /* the last request was answered */
 	bool refreshing; /* the request began after a suspension */
 	usec_t sent_at;	 /* time of the open request */
+	usec_t asked_at; /* the same, or time of the list's first page */
 	usec_t wait;	 /* for which the registry may hold back its answer */
 	usec_t answer_limit; /* time limit in addition to wait */
 	usec_t backoff;
@@ -136,6 +139,16 @@
 	r->available = available;
 }
 
+/* Whether the open request is a long watch that may have been lost long ago,
+ * while the registry answers others. */
+static bool is_old_watch(const registry_t *r)
+{
+	usec_t age = fleet_state_age(r->e->fleet, clock_now());
+
+	return r->wait == WATCH_WAIT && age >= 0 &&
+	       age < share_of_apply_limit(r, CONFIRMED_SHARE);
+}
+
 static void fail_request(registry_t *r, registry_result_t why, unsigned status)
 {
 	usec_t max = share_of_apply_limit(r, BACKOFF_MAX_SHARE);
@@ -150,7 +163,8 @@
 	r->results[why]++;
 	r->waiting = false;
 	disconnect(r);
-	set_available(r, false, result_names[why], status);
+	if (why != REGISTRY_TIMEOUT || !is_old_watch(r))
+		set_available(r, false, result_names[why], status);
 	wait += (usec_t)g_random_int_range(0, (gint32)r->backoff / 2 + 1);
 	set_timer(r, wait);
 	r->backoff = within(2 * r->backoff, BACKOFF_MIN,
@@ -201,7 +215,7 @@
 	bool waited =
 		!r->listing && items->n == 0 && now - r->sent_at >= r->wait;
 
-	return r->sent_at + (waited ? r->wait : 0);
+	return r->asked_at + (waited ? r->wait : 0);
 }
 
 /* Ends a request that was answered. The state is as of the given time, unless
@@ -337,6 +351,8 @@
 	usec_t limit = r->answer_limit;
 
 	r->sent_at = clock_now();
+	if (!r->listing || r->last_key.sz == 0)
+		r->asked_at = r->sent_at;
 	r->wait = 0;
 	r->answering = false;
 	if (!r->bev && !connect_registry(r)) {
