--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -179,6 +179,11 @@
 	return fd;
 }
 
+usec_t edge_apply_share(const edge_t *e, double share)
+{
+	return (usec_t)(share * e->settings->apply_limit_ms) * USEC_PER_MSEC;
+}
+
 bool edge_is_ready(const edge_t *e)
 {
 	return !e->stopping && rt_conf(e->rt) &&
--- a/daemon/edge_peer.c
+++ b/daemon/edge_peer.c
@@ -99,14 +99,9 @@
 	return n;
 }
 
-static usec_t share_of_apply_limit(const edge_t *e, double share)
-{
-	return (usec_t)(share * e->settings->apply_limit_ms) * USEC_PER_MSEC;
-}
-
 static bool is_recent(const edge_t *e, usec_t age)
 {
-	return age >= 0 && age <= share_of_apply_limit(e, SILENT_SHARE);
+	return age >= 0 && age <= edge_apply_share(e, SILENT_SHARE);
 }
 
 /* Tells a daemon whose state has all changes that this is so, for the registry
@@ -236,7 +231,7 @@
 static void update_state_age(edge_t *e, usec_t now)
 {
 	usec_t age = fleet_state_age(e->fleet, now);
-	bool old = age > share_of_apply_limit(e, 1);
+	bool old = age > edge_apply_share(e, 1);
 
 	if (age >= 0)
 		rt_set_state_as_of(e->rt, now - age);
--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -81,11 +81,6 @@
 	evtimer_add(r->timer, &tv);
 }
 
-static usec_t share_of_apply_limit(const registry_t *r, double share)
-{
-	return (usec_t)(share * r->e->settings->apply_limit_ms) * USEC_PER_MSEC;
-}
-
 static usec_t within(usec_t v, usec_t min, usec_t max)
 {
 	if (v > max)
@@ -96,8 +91,8 @@
 static void set_answer_limit(registry_t *r, usec_t limit)
 {
 	r->answer_limit =
-		within(limit, share_of_apply_limit(r, ANSWER_LIMIT_MIN_SHARE),
-		       share_of_apply_limit(r, ANSWER_LIMIT_MAX_SHARE));
+		within(limit, edge_apply_share(r->e, ANSWER_LIMIT_MIN_SHARE),
+		       edge_apply_share(r->e, ANSWER_LIMIT_MAX_SHARE));
 }
 
 static void disconnect(registry_t *r)
@@ -146,12 +141,12 @@
 	usec_t age = fleet_state_age(r->e->fleet, clock_now());
 
 	return r->wait == WATCH_WAIT && age >= 0 &&
-	       age < share_of_apply_limit(r, CONFIRMED_SHARE);
+	       age < edge_apply_share(r->e, CONFIRMED_SHARE);
 }
 
 static void fail_request(registry_t *r, registry_result_t why, unsigned status)
 {
-	usec_t max = share_of_apply_limit(r, BACKOFF_MAX_SHARE);
+	usec_t max = edge_apply_share(r->e, BACKOFF_MAX_SHARE);
 	usec_t wait = r->backoff / 2;
 
 	log_json(G_LOG_LEVEL_INFO, "registry request failed",
@@ -235,7 +230,7 @@
 	}
 	r->stale = false;
 	if (r->role != FLEET_FOLLOWER)
-		set_timer(r, share_of_apply_limit(r, pause));
+		set_timer(r, edge_apply_share(r->e, pause));
 }
 
 static void handle_answer(registry_t *r)
@@ -295,8 +290,8 @@
 	if (!r->msg.done) {
 		/* The request isn't lost; a long answer takes time. */
 		if (!r->answering)
-			set_timer(r, share_of_apply_limit(
-					     r, ANSWER_LIMIT_MAX_SHARE));
+			set_timer(r, edge_apply_share(r->e,
+						      ANSWER_LIMIT_MAX_SHARE));
 		r->answering = true;
 		return;
 	}
@@ -340,7 +335,7 @@
 static usec_t watch_wait(const registry_t *r)
 {
 	return r->role == FLEET_CONFIRMER
-		       ? share_of_apply_limit(r, CONFIRM_WAIT_SHARE)
+		       ? edge_apply_share(r->e, CONFIRM_WAIT_SHARE)
 		       : WATCH_WAIT;
 }
 
@@ -365,7 +360,7 @@
 		if (r->last_key.sz == 0)
 			r->stale = revision == 0;
 		r->e->protocol->list_path(path, r->last_key, r->stale);
-		limit = share_of_apply_limit(r, ANSWER_LIMIT_MAX_SHARE);
+		limit = edge_apply_share(r->e, ANSWER_LIMIT_MAX_SHARE);
 	} else {
 		if (!r->refreshing)
 			r->wait = watch_wait(r);
@@ -437,7 +432,7 @@
 	else if (!evtimer_pending(r->timer, NULL))
 		send_request(r);
 	else if (!r->waiting && old == FLEET_CONFIRMER)
-		set_timer(r, share_of_apply_limit(r, FIRST_READER_PAUSE_SHARE));
+		set_timer(r, edge_apply_share(r->e, FIRST_READER_PAUSE_SHARE));
 }
 
 fleet_role_t registry_role(const registry_t *r)
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -253,6 +253,8 @@
  * state, and it isn't stopping.
  */
 bool edge_is_ready(const edge_t *e);
+/** A share (0 to 1) of the setting apply_limit_ms. */
+usec_t edge_apply_share(const edge_t *e, double share);
 /** Executes the pending actions of e->rt and sets the tick timer. */
 void edge_run_actions(edge_t *e);
 /**
