Review: case 1, a second copy of a refusal is taken for the next answer

Cause: a request that must not run twice is sent again on the connection of its earlier, refused send; a late second copy of that refusal bears the same id.

--- /dev/null
+++ b/review/1/case.c
@@ -0,0 +1,173 @@
+/**
+ * @file case.c
+ * Three servers are full for a moment each second and say so. One of them sends
+ * a few of its answers twice, the second copy at the point where the next
+ * answer on the connection is expected.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../common/rig.h"
+
+#define RUN_MS 50000
+#define POLL_MS 1
+#define FULL_PERIOD_MS 400
+#define FULL_MS 40
+#define WORK_MS 60
+/* The fault is on for 5 s, then off for 5 s, and touches 3 in 100 of the
+ * answers of one server of three. */
+#define FAULT_PERIOD_MS 10000
+#define FAULT_MS 5000
+#define ANSWERS_PER_COPY 34
+#define LIMIT_MS 8000
+#define DRAIN_MS 1000
+
+/* The copy that is to follow an answer on a connection. */
+static GHashTable *copies; /* world_conn_t to its text */
+
+static bool is_full(const rig_t *r)
+{
+	return rig_ms(r) % FULL_PERIOD_MS < FULL_MS;
+}
+
+static bool fault_is_on(const rig_t *r)
+{
+	return r->trouble && rig_ms(r) % FAULT_PERIOD_MS >= FAULT_MS;
+}
+
+/* The fault is that of the server that the daemon uses most. */
+static bool has_fault(const rig_server_t *s)
+{
+	const rig_t *r = s->arg;
+	guint i;
+
+	for (i = 0; i < r->servers->len; i++)
+		if (((rig_server_t *)r->servers->pdata[i])->ws.runs >
+		    s->ws.runs)
+			return false;
+	return fault_is_on(r);
+}
+
+static void request_id(const world_conn_t *c, char *id, size_t sz)
+{
+	const rig_server_t *s = (const rig_server_t *)c->server;
+
+	str_copy(id, sz, rig_header(s->arg, &c->msg, OUTSIDE_REQUEST_ID));
+}
+
+static void write_copy(rig_server_t *s, world_conn_t *c)
+{
+	char *text = g_hash_table_lookup(copies, c);
+
+	if (!text)
+		return;
+	rig_write(c, text, strlen(text));
+	rig_note(s->arg, "%s writes the second copy of its last answer",
+		 s->ws.id);
+	g_hash_table_remove(copies, c);
+}
+
+static void refuse(rig_server_t *s, world_conn_t *c, const char *id)
+{
+	rig_t *r = s->arg;
+	char *text = g_strdup_printf("HTTP/1.1 503 Service Unavailable\r\n"
+				     "%s: %s\r\n%s: 1\r\n"
+				     "Content-Length: 0\r\n\r\n",
+				     rig_name(r, OUTSIDE_REQUEST_ID), id,
+				     rig_name(r, OUTSIDE_NOT_RUN));
+
+	rig_note(r, "%s is full and refuses %s", s->ws.id, id);
+	rig_write(c, text, strlen(text));
+	if (has_fault(s) && s->n >= ANSWERS_PER_COPY) {
+		s->n = 0;
+		rig_note(r, "%s will answer %s twice", s->ws.id, id);
+		g_hash_table_insert(copies, c, g_strdup(text));
+	}
+	g_free(text);
+	world_conn_read_next(c);
+}
+
+static void on_work_done(evutil_socket_t fd, short what, void *arg)
+{
+	world_conn_t *c = arg;
+	rig_server_t *s = (rig_server_t *)c->server;
+	char id[64], text[300];
+
+	(void)fd;
+	(void)what;
+	request_id(c, id, sizeof(id));
+	g_snprintf(text, sizeof(text),
+		   "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.%s\r\n"
+		   "Content-Length: 2\r\n\r\nok",
+		   rig_name(s->arg, OUTSIDE_REQUEST_ID), id,
+		   rig_name(s->arg, OUTSIDE_SERVER_STAMP), s->ws.id, id);
+	rig_write(c, text, strlen(text));
+	world_conn_read_next(c);
+}
+
+static void handle(rig_server_t *s, world_conn_t *c)
+{
+	char id[64];
+
+	request_id(c, id, sizeof(id));
+	s->n += has_fault(s);
+	write_copy(s, c);
+	if (is_full(s->arg)) {
+		refuse(s, c, id);
+		return;
+	}
+	rig_ran(s, id);
+	s->ws.runs++;
+	world_conn_set_timer(c, WORK_MS, on_work_done);
+}
+
+/* Counts requests that must run once at most and broke a promise. */
+static unsigned judge(rig_t *r)
+{
+	unsigned broken = 0, refused = 0, served = 0;
+	guint i;
+
+	for (i = 0; i < r->calls->len; i++) {
+		const rig_call_t *c = r->calls->pdata[i];
+
+		served += c->status == 200;
+		refused += c->status == 503;
+		if (c->runs > 1 || (c->status == 503 && c->runs)) {
+			broken++;
+			rig_note(r, "BROKEN: %s was answered %u and ran %u x",
+				 c->id, c->status, c->runs);
+		}
+	}
+	rig_note(r, "%u requests, %u served, %u refused, %u broken",
+		 r->calls->len, served, refused, broken);
+	return broken;
+}
+
+int main(int argc, char **argv)
+{
+	rig_t *r = rig_new(argc > 1 ? argv[1] : "review/1");
+	unsigned broken, i;
+	rig_call_t *c;
+	char id[8];
+
+	copies = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	for (i = 0; i < 3; i++) {
+		g_snprintf(id, sizeof(id), "i-%u", i);
+		rig_server(r, id, "statement-mail", "almaty-a", handle);
+	}
+	if (!rig_start_daemon(r)) {
+		rig_free(r);
+		return 2;
+	}
+	while (rig_ms(r) < RUN_MS) {
+		c = rig_call(r, "POST /audit/2f", "account=7", LIMIT_MS);
+		while (!c->done)
+			world_run_loop(r->w, POLL_MS);
+	}
+	world_run_loop(r->w, DRAIN_MS);
+	broken = judge(r);
+	printf("%u broken\n", broken);
+	rig_free(r);
+	g_hash_table_destroy(copies);
+	return broken ? 1 : 0;
+}
