Review: case 5, a fraction among the bounds ends each start

Cause: the template makes milliseconds by writing three zeros after a number of seconds, and three settings take whole numbers only.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../run-case.sh" 5
