--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,9 +1,8 @@
 /**
  * @file case.c
  * The store's list of items has pages of 50, and holds entries of another
- * writer with keys of 200 bytes, the longest that the store takes. The daemon
- * is killed and started again. Later the configuration moves a route to another
- * service.
+ * writer with keys of 200 bytes, the longest that the store takes. A daemon is
+ * started. Later the configuration moves a route to another service.
  */
 #include <stdlib.h>
 #include <string.h>
