Review: case 4, the share is counted while the fault is on

The first answer after the fault began was spoiled; the 50 answers before it were counted from the start of the run. Now it is the last of 50 that the server gives while the fault is on.

--- a/review/4/case.c
+++ b/review/4/case.c
@@ -9,12 +9,12 @@
 #include "../common/rig.h"
 
 #define RUN_MS 20000
-#define REQUEST_PERIOD_MS 25 /* about 40 requests a second to both services */
+#define REQUEST_PERIOD_MS 15 /* half of the requests go to each service */
 #define WORK_MS 20
-/* The fault is on from then on for 5 s and touches 1 in 50 of the answers of
- * one server of three, at most. */
-#define FAULT_AT_MS 5000
-#define FAULT_MS 5000
+/* The fault is on from then on and touches 1 in 50 of the answers that one
+ * server of three gives meanwhile: the last of the 50. */
+#define FAULT_AT_MS 3000
+#define FAULT_MS 5500
 #define ANSWERS_PER_FAULT 50
 #define SPOILED_LINES 131000
 #define TIMEOUT_MS 1000 /* of the routes */
@@ -24,7 +24,7 @@
 
 static bool spoiled; /* one answer was */
 
-static bool has_fault(const rig_server_t *s)
+static bool has_fault(rig_server_t *s)
 {
 	const rig_t *r = s->arg;
 	unsigned ms = rig_ms(r);
@@ -32,7 +32,7 @@
 	if (!r->trouble || strcmp(s->ws.service, "compliance-desk") != 0 ||
 	    ms < FAULT_AT_MS || ms >= FAULT_AT_MS + FAULT_MS || spoiled)
 		return false;
-	return s->ws.runs >= ANSWERS_PER_FAULT;
+	return ++s->n >= ANSWERS_PER_FAULT;
 }
 
 static void on_work_done(evutil_socket_t fd, short what, void *arg)
@@ -40,13 +40,15 @@
 	world_conn_t *c = arg;
 	rig_server_t *s = (rig_server_t *)c->server;
 	GString *lines = g_string_new(NULL);
+	char id[64];
 	unsigned i;
 
 	(void)fd;
 	(void)what;
 	if (has_fault(s)) {
 		spoiled = true;
-		rig_note(s->arg, "%s spoils an answer", s->ws.id);
+		rig_id(c, id, sizeof(id));
+		rig_note(s->arg, "%s spoils its answer to %s", s->ws.id, id);
 		for (i = 0; i < SPOILED_LINES; i++)
 			g_string_append(lines, "a:\r\n");
 	}
@@ -99,7 +101,7 @@
 		 "%u requests, %u served, %u unanswered at the timeout, %u of "
 		 "them half a second later",
 		 r->calls->len, served, late, unanswered);
-	return unanswered > late / 2;
+	return 2 * unanswered > late;
 }
 
 int main(int argc, char **argv)
