--- a/review/5/case.c
+++ b/review/5/case.c
@@ -37,7 +37,8 @@
 	if (!g_file_get_contents(r->settings, &text, NULL, NULL))
 		g_error("cannot read %s", r->settings);
 	s = g_string_new(text);
-	g_string_replace(s, pair[0], pair[1], 0);
+	if (g_string_replace(s, pair[0], pair[1], 0) != 1)
+		g_error("%s is not in the settings", pair[0]);
 	g_file_set_contents(r->settings, s->str, -1, NULL);
 	rig_note(r, "the settings file has %s now, not %s", pair[1], pair[0]);
 	g_string_free(s, TRUE);
