Registry list: paths of requests are as long as their key needs

The daemon was never ready.

Cause: the path of a page names the last key of the page before, escaped. platform_list_path() and its counterpart of the own protocol wrote it into 512 bytes and ignored that it was cut. The registry answered 400, and the daemon repeated the same request for good. A neighbour's state hides the fault, so it showed only on a daemon that starts alone or with the whole fleet.

Change: list_path() and watch_path() append to a string without a limit. The key is escaped by its length. A request that is refused with a final status (4xx but 408 and 429) is logged as a warning with its path, and the list begins anew. A log line with members that are too long is dropped and counted, as the file promises; it was cut before, which is no JSON.

--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -36,7 +36,7 @@
 #define BACKOFF_MAX_SHARE 0.5
 /* A state of at most this age is confirmed by somebody. */
 #define CONFIRMED_SHARE 0.5
-#define HTTP_GONE 410
+#define PATH_LOG_BYTES 512 /* of a path in a log line */
 #define MAX_ANSWER_BYTES ((size_t)16 << 20)
 
 struct registry {
@@ -59,6 +59,7 @@
 	usec_t backoff;
 	uint64_t results[REGISTRY_RESULT_MAX];
 	str_t last_key; /* owned; of the previous page */
+	GString *path;	/* of the last request */
 };
 
 static const char *const result_names[REGISTRY_RESULT_MAX] = {
@@ -71,6 +72,7 @@
 };
 
 static void send_request(registry_t *r);
+static void start_list(registry_t *r);
 static void on_read(struct bufferevent *bev, void *arg);
 static void on_event(struct bufferevent *bev, short what, void *arg);
 
@@ -144,17 +146,40 @@
 	       age < edge_apply_share(r->e, CONFIRMED_SHARE);
 }
 
-static void fail_request(registry_t *r, registry_result_t why, unsigned status)
+/* Whether the status says that the same request will be refused again. */
+static bool is_final_refusal(unsigned status)
 {
-	usec_t max = edge_apply_share(r->e, BACKOFF_MAX_SHARE);
-	usec_t wait = r->backoff / 2;
+	return status >= 400 && status < 500 &&
+	       status != HTTP_STATUS_REQUEST_TIMEOUT &&
+	       status != HTTP_STATUS_TOO_MANY_REQUESTS;
+}
 
-	log_json(G_LOG_LEVEL_INFO, "registry request failed",
+static void log_failed_request(const registry_t *r, registry_result_t why,
+			       unsigned status)
+{
+	GLogLevelFlags level = is_final_refusal(status) ? G_LOG_LEVEL_WARNING
+							: G_LOG_LEVEL_INFO;
+	char path[PATH_LOG_BYTES];
+
+	log_json(level, "registry request failed",
 		 "\"request\":\"%s\",\"why\":\"%s\",\"status\":%u,"
-		 "\"waited_ms\":%lld,\"revision\":%llu",
+		 "\"waited_ms\":%lld,\"revision\":%llu,\"path\":%s",
 		 r->listing ? "list" : "watch", result_names[why], status,
 		 (long long)((clock_now() - r->sent_at) / USEC_PER_MSEC),
-		 (unsigned long long)fleet_state_revision(r->e->state));
+		 (unsigned long long)fleet_state_revision(r->e->state),
+		 log_quote(path, sizeof(path),
+			   (str_t){ r->path->str, r->path->len }));
+}
+
+static void fail_request(registry_t *r, registry_result_t why, unsigned status)
+{
+	usec_t max = edge_apply_share(r->e, BACKOFF_MAX_SHARE);
+	usec_t wait = r->backoff / 2;
+
+	log_failed_request(r, why, status);
+	/* The page after another key may be accepted. */
+	if (r->listing && is_final_refusal(status))
+		start_list(r);
 	r->results[why]++;
 	r->waiting = false;
 	disconnect(r);
@@ -301,7 +326,7 @@
 		disconnect(r);
 	if (status == 200) {
 		handle_answer(r);
-	} else if (status == HTTP_GONE && !r->listing) {
+	} else if (status == HTTP_STATUS_GONE && !r->listing) {
 		log_json(G_LOG_LEVEL_MESSAGE, "registry history lost",
 			 "\"revision\":%llu",
 			 (unsigned long long)fleet_state_revision(r->e->state));
@@ -342,7 +367,6 @@
 static void send_request(registry_t *r)
 {
 	uint64_t revision = fleet_state_revision(r->e->state);
-	char path[OUTSIDE_PATH_MAX];
 	usec_t limit = r->answer_limit;
 
 	r->sent_at = clock_now();
@@ -350,6 +374,7 @@
 		r->asked_at = r->sent_at;
 	r->wait = 0;
 	r->answering = false;
+	g_string_truncate(r->path, 0);
 	if (!r->bev && !connect_registry(r)) {
 		fail_request(r, REGISTRY_UNREACHABLE, 0);
 		return;
@@ -359,18 +384,18 @@
 		 * changes. */
 		if (r->last_key.sz == 0)
 			r->stale = revision == 0;
-		r->e->protocol->list_path(path, r->last_key, r->stale);
+		r->e->protocol->list_path(r->path, r->last_key, r->stale);
 		limit = edge_apply_share(r->e, ANSWER_LIMIT_MAX_SHARE);
 	} else {
 		if (!r->refreshing)
 			r->wait = watch_wait(r);
-		r->e->protocol->watch_path(path, revision, r->wait);
+		r->e->protocol->watch_path(r->path, revision, r->wait);
 	}
 	http_msg_reset(&r->msg, HTTP_RESPONSE);
 	r->msg.body_limit = MAX_ANSWER_BYTES;
 	r->waiting = true;
 	evbuffer_add_printf(bufferevent_get_output(r->bev),
-			    "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path,
+			    "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", r->path->str,
 			    r->addr);
 	set_timer(r, r->wait + limit);
 }
@@ -396,6 +421,7 @@
 	r->e = e;
 	r->addr = strdup(addr);
 	r->backoff = BACKOFF_MIN;
+	r->path = g_string_new(NULL);
 	r->timer = evtimer_new(e->base, on_timer, r);
 	http_msg_init(&r->msg, HTTP_RESPONSE);
 	r->available = true;
@@ -480,6 +506,7 @@
 	event_free(r->timer);
 	http_msg_clear(&r->msg);
 	str_free(r->last_key);
+	g_string_free(r->path, TRUE);
 	free(r->addr);
 	free(r);
 }
--- a/daemon/log.c
+++ b/daemon/log.c
@@ -181,12 +181,17 @@
 		{ MEMBERS_FIELD, members, -1 },
 	};
 	va_list ap;
+	int sz;
 
 	if (!log_enabled(level))
 		return;
 	va_start(ap, fmt);
-	vsnprintf(members, sizeof(members), fmt, ap);
+	sz = vsnprintf(members, sizeof(members), fmt, ap);
 	va_end(ap);
+	if (sz < 0 || (size_t)sz >= sizeof(members)) {
+		atomic_fetch_add(&logger.dropped, 1);
+		return;
+	}
 	g_log_structured_array(level, f, *members ? 2 : 1);
 }
 
--- a/daemon/outside.h
+++ b/daemon/outside.h
@@ -7,6 +7,8 @@
 #ifndef OUTSIDE_H
 #define OUTSIDE_H
 
+#include <glib.h>
+
 #include "route.h"
 
 /** Header lines that the daemon reads or writes. */
@@ -49,7 +51,6 @@
 } outside_kind_t;
 
 #define OUTSIDE_FAULT_MAX 192 /**< bytes of a fault's text, with the NUL */
-#define OUTSIDE_PATH_MAX 512  /**< bytes of a request's path, with the NUL */
 
 /** An external protocol. */
 typedef struct outside_protocol {
@@ -59,18 +60,16 @@
 	const char *ready_path;
 	int misdirected_status; /**< HTTP status that means RT_MOVED */
 	/**
-	 * Writes the path of a page of the list. after: last key of the
-	 * previous page, empty for the first one; allow_stale: the answer may
-	 * come from a replica that lags.
+	 * Appends the path of a page of the list. after: last key of the
+	 * previous page, of any length and with any bytes, empty for the first
+	 * one; allow_stale: the answer may come from a replica that lags.
 	 */
-	void (*list_path)(char path[OUTSIDE_PATH_MAX], str_t after,
-			  bool allow_stale);
+	void (*list_path)(GString *path, str_t after, bool allow_stale);
 	/**
-	 * Writes the path of a request for the changes after a revision, which
+	 * Appends the path of a request for the changes after a revision, which
 	 * is answered after the wait (microseconds) if there are none.
 	 */
-	void (*watch_path)(char path[OUTSIDE_PATH_MAX], uint64_t after,
-			   usec_t wait);
+	void (*watch_path)(GString *path, uint64_t after, usec_t wait);
 	/**
 	 * Parses the answer to either path into mem; false if it is invalid.
 	 */
@@ -106,6 +105,9 @@
 	bool (*value)(str_t text, str_t *value, arena_t *mem);
 } outside_json_names_t;
 
+/** Appends a key to a path, with escapes for all but letters, digits, "-._~/".
+ */
+void outside_append_key(GString *path, str_t key);
 /** Parses a list or changes into mem; false if the body is neither. */
 bool outside_read_items(const outside_json_names_t *names, str_t body,
 			outside_items_t *items, arena_t *mem);
--- a/daemon/outside_items.c
+++ b/daemon/outside_items.c
@@ -74,6 +74,14 @@
 	return n;
 }
 
+void outside_append_key(GString *path, str_t key)
+{
+	char *escaped = g_uri_escape_bytes((const guint8 *)key.s, key.sz, "/");
+
+	g_string_append(path, escaped);
+	g_free(escaped);
+}
+
 bool outside_read_items(const outside_json_names_t *names, str_t body,
 			outside_items_t *items, arena_t *mem)
 {
--- a/daemon/outside_own.c
+++ b/daemon/outside_own.c
@@ -14,10 +14,8 @@
 #define MAX_SLOTS 100000 /* a larger value is a fault of the entry */
 #define MAX_WARMUP_MS ((uint64_t)3600000)
 
-static void list_path(char path[OUTSIDE_PATH_MAX], str_t after,
-		      bool allow_stale);
-static void watch_path(char path[OUTSIDE_PATH_MAX], uint64_t after,
-		       usec_t wait);
+static void list_path(GString *path, str_t after, bool allow_stale);
+static void watch_path(GString *path, uint64_t after, usec_t wait);
 static bool item_value(str_t text, str_t *value, arena_t *mem);
 static bool read_items(str_t body, outside_items_t *items, arena_t *mem);
 static outside_kind_t kind(str_t key, str_t *server_id);
@@ -59,21 +57,18 @@
 	.read_server = read_server,
 };
 
-static void list_path(char path[OUTSIDE_PATH_MAX], str_t after,
-		      bool allow_stale)
+static void list_path(GString *path, str_t after, bool allow_stale)
 {
-	char *quoted = g_uri_escape_string(after.sz ? after.s : "", "/", FALSE);
-
-	snprintf(path, OUTSIDE_PATH_MAX, "/v1/published?after=%s%s", quoted,
-		 allow_stale ? "&stale=1" : "");
-	g_free(quoted);
+	g_string_append(path, "/v1/published?after=");
+	outside_append_key(path, after);
+	g_string_append(path, allow_stale ? "&stale=1" : "");
 }
 
-static void watch_path(char path[OUTSIDE_PATH_MAX], uint64_t after, usec_t wait)
+static void watch_path(GString *path, uint64_t after, usec_t wait)
 {
-	snprintf(path, OUTSIDE_PATH_MAX,
-		 "/v1/published/changes?since=%" PRIu64 "&wait_ms=%lld", after,
-		 (long long)(wait / USEC_PER_MSEC));
+	g_string_append_printf(
+		path, "/v1/published/changes?since=%" PRIu64 "&wait_ms=%lld",
+		after, (long long)(wait / USEC_PER_MSEC));
 }
 
 /* The value is any JSON value; it is returned as JSON text. */
--- a/standin/world.c
+++ b/standin/world.c
@@ -95,26 +95,65 @@
 	evbuffer_add(bufferevent_get_output(bev), body->str, body->len);
 }
 
-static void reply_list(world_t *w, struct bufferevent *bev)
+/* The key after which a page of the list begins, unescaped; NULL if its escapes
+ * are invalid. The caller frees it. */
+static char *list_after(str_t target)
+{
+	char *text = g_strndup(target.s, target.sz), *key;
+	const char *at = strstr(text, "after=");
+
+	at = at ? at + strlen("after=") : "";
+	key = g_uri_unescape_segment(at, at + strcspn(at, "&"), NULL);
+	g_free(text);
+	return key;
+}
+
+/* Answers with the items after a key, in the order of their keys. */
+static void reply_list(world_t *w, struct bufferevent *bev, const char *after)
 {
 	const char *const *frame = w->protocol->list_frame;
-	GString *out = g_string_new(frame[0]);
-	GHashTableIter it;
-	gpointer v;
-	bool first = true;
+	GList *keys = g_list_sort(g_hash_table_get_keys(w->items),
+				  (GCompareFunc)strcmp);
+	GString *out = g_string_new(frame[0]), *tail = g_string_new(frame[1]);
+	unsigned n = 0;
+	bool more = false;
+	GList *k;
+
+	for (k = keys; k && !more; k = k->next) {
+		const item_t *it = g_hash_table_lookup(w->items, k->data);
 
-	g_hash_table_iter_init(&it, w->items);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		if (!((item_t *)v)->value)
+		if (!it->value || strcmp(it->key, after) <= 0)
 			continue;
-		g_string_append(out, first ? "" : ",");
-		append_item(w, out, v);
-		first = false;
+		more = w->list_page && n == w->list_page;
+		if (more)
+			break;
+		g_string_append(out, n++ ? "," : "");
+		append_item(w, out, it);
 	}
-	g_string_append_printf(out, "%s%llu}", frame[1],
+	if (more)
+		g_string_replace(tail, "false", "true", 1);
+	g_string_append_printf(out, "%s%llu}", tail->str,
 			       (unsigned long long)w->revision);
 	reply_json(bev, 200, out);
+	g_string_free(tail, TRUE);
 	g_string_free(out, TRUE);
+	g_list_free(keys);
+}
+
+static void answer_list_request(world_t *w, struct bufferevent *bev,
+				str_t target)
+{
+	char *after = list_after(target);
+	GString *error;
+
+	if (after) {
+		reply_list(w, bev, after);
+	} else {
+		error = g_string_new("{\"error\":\"after\"}");
+		reply_json(bev, 400, error);
+		g_string_free(error, TRUE);
+	}
+	g_free(after);
 }
 
 /* Answers a watch with the changes after a revision. Without changes it answers
@@ -177,12 +216,12 @@
 
 static uint64_t query_argument(str_t target, const char *name)
 {
-	char text[OUTSIDE_PATH_MAX];
-	const char *at;
+	char *text = g_strndup(target.s, target.sz);
+	const char *at = strstr(text, name);
+	uint64_t n = at ? strtoull(at + strlen(name), NULL, 10) : 0;
 
-	str_copy(text, sizeof(text), target);
-	at = strstr(text, name);
-	return at ? strtoull(at + strlen(name), NULL, 10) : 0;
+	g_free(text);
+	return n;
 }
 
 static void answer_store_request(world_conn_t *c)
@@ -199,7 +238,7 @@
 		g_string_free(error, TRUE);
 	} else if (memcmp(target.s, w->protocol->list_path,
 			  strlen(w->protocol->list_path)) == 0) {
-		reply_list(w, c->bev);
+		answer_list_request(w, c->bev, target);
 	} else if (!reply_changes(w, c->bev, after, false)) {
 		start_watch(w, c->bev, after,
 			    ms > WATCH_MAX_MS ? WATCH_MAX_MS : (unsigned)ms);
--- a/standin/world.h
+++ b/standin/world.h
@@ -150,6 +150,8 @@
 	/** The store answers each request with a head line without end. */
 	bool store_trickles;
 	unsigned store_delay_ms; /**< time until the store handles a request */
+	unsigned
+		list_page; /**< most items in a page of the list; 0: no limit */
 	unsigned store_requests;
 	GPtrArray *servers; /**< world_server_t */
 	GPtrArray *proxies; /**< world_proxy_t */
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -805,6 +805,45 @@
 	}
 }
 
+/*
+ * Guards against a list that never ends: keys of 200 bytes, which need up to
+ * 600 bytes in a path, are the last ones of the list's pages. A daemon that
+ * starts, without a neighbour, reads the whole list and then follows what is
+ * published.
+ */
+static void test_long_keys(void)
+{
+	enum { KEYS = 20, PAGE = 7, KEY_BYTES = 200 };
+	static const char *const letters[] = { "x", "&", "+%", "\xd1\x8f" };
+	world_daemon_t *late;
+	size_t i, j;
+
+	for (i = 0; i < sizeof(letters) / sizeof(letters[0]); i++) {
+		setup_t r = setup_new();
+
+		for (j = 0; j < KEYS; j++) {
+			GString *key = g_string_new("servers/");
+
+			while (key->len < KEY_BYTES - 2)
+				g_string_append(key, letters[i]);
+			g_string_append_printf(key, "%02zu", j);
+			world_put(r.w, key->str, "{}");
+			g_string_free(key, TRUE);
+		}
+		r.w->list_page = PAGE;
+		kill(r.d->pid, SIGKILL);
+		waitpid(r.d->pid, NULL, 0);
+		r.d->pid = 0;
+		late = world_start_daemon(r.w, "x");
+		CU_ASSERT(world_wait_ready(r.w, late, true, READY_TIMEOUT_MS));
+		publish_conf(r.w, CONF_HEAD CONF_ALL CONF_TAIL, 9);
+		world_publish_server(r.a[0], "draining");
+		world_run_loop(r.w, 3000);
+		check_new_state(&r, late);
+		world_free(r.w);
+	}
+}
+
 /* Without a configuration the daemon isn't ready, and answers 503 rather than
  * 404. */
 static void test_no_configuration(void)
@@ -1257,6 +1296,7 @@
 	{ "the state is confirmed by a neighbour",
 	  test_confirmed_by_neighbour },
 	{ "odd entries of another writer", test_odd_entries },
+	{ "long keys between pages of the list", test_long_keys },
 	{ "no configuration", test_no_configuration },
 	{ "planned stop", test_stop },
 	{ "planned stop under load", test_stop_under_load },
