Published state: one unreadable key no longer refuses the whole answer

Cause: outside_read_items() took an item without a readable key for an invalid answer, so that the list and each later watch with the item failed.

Change: such an item is left out, counted and logged. A page with further pages and no readable key is refused, not taken for the last one.

Evidence: two new rows of the edge-test "odd entries of another writer" (NUL, half a surrogate pair) failed before with both protocols (200 in place of 404, a draining server got requests) and pass, as do the new rows of the unit test "lists and changes of published state".

--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -219,7 +219,7 @@
 	apply_items(r, items);
 	str_free(r->last_key);
 	r->last_key = (str_t){ 0 };
-	if (items->more && items->n) {
+	if (items->more) {
 		r->last_key = str_dup(items->v[items->n - 1].key);
 		return;
 	}
@@ -266,11 +266,17 @@
 	outside_items_t items;
 	str_t body = { r->msg.body->str, r->msg.body->len };
 
-	if (!r->e->protocol->read_items(body, &items, &mem)) {
+	/* Without a key there is no path to the next page. */
+	if (!r->e->protocol->read_items(body, &items, &mem) ||
+	    (items.more && items.n == 0)) {
 		arena_free(&mem);
 		fail_request(r, REGISTRY_INVALID, r->msg.parser.status_code);
 		return;
 	}
+	if (items.unreadable)
+		log_json(G_LOG_LEVEL_WARNING, "items with unreadable keys",
+			 "\"items\":%zu,\"revision\":%llu", items.unreadable,
+			 (unsigned long long)items.revision);
 	r->results[REGISTRY_ANSWERED]++;
 	set_available(r, true, result_names[REGISTRY_ANSWERED],
 		      r->msg.parser.status_code);
--- a/daemon/outside.h
+++ b/daemon/outside.h
@@ -39,6 +39,7 @@
 typedef struct outside_items {
 	outside_item_t *v;
 	size_t n;
+	size_t unreadable; /**< items left out: their keys cannot be read */
 	uint64_t revision; /**< up to which the answer is complete */
 	bool more;	   /**< the list has a further page */
 } outside_items_t;
--- a/daemon/outside_items.c
+++ b/daemon/outside_items.c
@@ -47,15 +47,29 @@
 	return slice_member(object, key, &text) && str_eq(text, STR("true"));
 }
 
+/* Whether the text begins with a quote: a JSON string, readable or not. */
+static bool is_string(str_t object, const char *key)
+{
+	str_t text;
+
+	return slice_member(object, key, &text) && text.sz && text.s[0] == '"';
+}
+
 static bool read_item(const outside_json_names_t *names, str_t object,
-		      outside_item_t *to, arena_t *mem)
+		      outside_items_t *items, arena_t *mem)
 {
+	outside_item_t *to = &items->v[items->n];
 	str_t text;
 
 	*to = (outside_item_t){ 0 };
-	if (!read_str(object, "key", &to->key, mem) ||
-	    !read_uint64(object, "revision", &to->revision))
+	if (!read_uint64(object, "revision", &to->revision))
 		return false;
+	if (!read_str(object, "key", &to->key, mem)) {
+		/* Its writer chose the key, such as one with a NUL. */
+		items->unreadable++;
+		return is_string(object, "key");
+	}
+	items->n++;
 	to->deleted = is_true(object, names->deleted);
 	/* An unreadable value replaces the known one, like an invalid value. */
 	if (!to->deleted && (!slice_member(object, "value", &text) ||
@@ -97,7 +111,7 @@
 	items->more = is_true(body, names->more);
 	items->v = arena_alloc(mem, count_elements(rest) * sizeof(*items->v));
 	while (slice_next(&rest, &element))
-		if (!read_item(names, element, &items->v[items->n++], mem))
+		if (!read_item(names, element, items, mem))
 			return false;
 	return rest.s == NULL;
 }
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -766,6 +766,8 @@
 		{ "servers/i-odd", "127.0.0.1:", "127.0.0.1:70000" },
 		{ "servers/i-odd", "127.0.0.1:", "127.0.0.1:9999999999999999" },
 		{ "servers/i-odd\\r\\nX: y", ":3,", ":3 ," },
+		{ "servers/i-odd\\u0000", ":3,", ":3 ," },
+		{ "servers/i-odd\\ud800", ":3,", ":3 ," },
 		{ "servers/i-a-0", NULL, NULL },
 		{
 			"servers/i-a-0",
--- a/tests/unit_outside.c
+++ b/tests/unit_outside.c
@@ -348,6 +348,13 @@
 		  true, 1 },
 		{ "{\"events\":[],\"atRev\":9}", true, 0 },
 		{ "{\"events\":[{\"key\":\"k\"}],\"atRev\":9}", false, 0 },
+		/* A key that cannot be read costs only its own item. */
+		{ "{\"events\":[{\"key\":\"a\\u0000\",\"revision\":6},"
+		  "{\"key\":\"k\",\"value\":\"\",\"revision\":6}],"
+		  "\"atRev\":9}",
+		  true, 1 },
+		{ "{\"events\":[{\"key\":7,\"revision\":6}],\"atRev\":9}",
+		  false, 0 },
 		{ "{\"events\":[]}", false, 0 },
 		{ "[]", false, 0 },
 		{ "{\"events\":", false, 0 },
