Header lines: ids, hosts, time limits and timeouts are not cut

Callers saw: 504 at the time limit for each request with an id of 64 bytes or more, though a server ran and answered it; 404 for a Host of more than 256 bytes, or the route of another host; no time at all for a time limit with 31 leading zeros. Servers' idle timeouts late in a Keep-Alive line were not seen.

Cause: str_copy() into buffers of fixed size, of text that only the limit for all headers bounds.

Change: each text is read with its length; a connection owns the id of its request.

--- a/daemon/edge_caller.c
+++ b/daemon/edge_caller.c
@@ -5,7 +5,6 @@
  * connection, its request is cancelled.
  */
 #include <arpa/inet.h>
-#include <ctype.h>
 #include <event2/listener.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
@@ -280,15 +279,15 @@
 				       "Content-Length: %zu\r\n", m->body->len);
 }
 
-/* Writes the Host value to buf in lower case and without the port. */
-static str_t request_host(const http_msg_t *m, char *buf, size_t size)
+/* The Host value in lower case and without the port; the caller frees it. */
+static str_t request_host(const http_msg_t *m)
 {
 	str_t v = http_msg_get(m, "Host");
-	size_t i;
+	const char *colon = memchr(v.s, ':', v.sz);
 
-	for (i = 0; i < v.sz && i < size && v.s[i] != ':'; i++)
-		buf[i] = (char)tolower((unsigned char)v.s[i]);
-	return (str_t){ buf, i };
+	if (colon)
+		v.sz = (size_t)(colon - v.s);
+	return (str_t){ g_ascii_strdown(v.s, (gssize)v.sz), v.sz };
 }
 
 /* The time that the caller still waits; 0 if the request has no such header
@@ -297,15 +296,17 @@
 {
 	const char *name = c->e->protocol->headers[OUTSIDE_TIME_LEFT];
 	str_t v = http_msg_get(&c->msg, name);
-	char text[32];
-	char *end;
+	char *text, *end;
 	double ms;
 
 	if (!http_msg_has(&c->msg, name))
 		return 0;
-	str_copy(text, sizeof(text), v);
+	text = g_strndup(v.s, v.sz);
 	ms = strtod(text, &end);
 	if (end == text || *end || !(ms >= 0) || ms > MAX_TIME_LEFT_MS)
+		ms = -1;
+	g_free(text);
+	if (ms < 0)
 		return -1;
 	/* 0 would mean "not given": use the shortest time, 1 us. */
 	return ms > 0 ? (usec_t)(ms * (double)USEC_PER_MSEC) : 1;
@@ -320,7 +321,6 @@
 
 static void start_request(caller_t *c)
 {
-	char host[256];
 	rt_request_t r = { .caller = c };
 
 	evtimer_del(c->timer);
@@ -335,9 +335,10 @@
 	r.network_time = network_time(c);
 	c->had_request = true;
 	r.id = caller_request_id(c);
-	r.host = request_host(&c->msg, host, sizeof(host));
+	r.host = request_host(&c->msg);
 	r.path = http_msg_target(&c->msg);
 	rt_request(c->e->rt, &r, clock_now());
+	g_free((char *)r.host.s);
 }
 
 static void reject_fault(caller_t *c)
--- a/daemon/edge_link.c
+++ b/daemon/edge_link.c
@@ -59,7 +59,7 @@
 	bool had_answer; /* to this or an earlier request */
 	uint64_t aid;	 /* attempt; 0: none */
 	bool head_read;	 /* read_notices() was called for the answer */
-	char id[64];	 /* of the request */
+	str_t id;	 /* of the request; owned */
 	size_t received; /* bytes of the current answer */
 	usec_t last_used_at;
 } link_t;
@@ -102,6 +102,7 @@
 	g_hash_table_remove(k->links->open, k);
 	bufferevent_free(k->bev);
 	http_msg_clear(&k->msg);
+	str_free(k->id);
 	free(k);
 	target_free_if_unused(t);
 }
@@ -217,7 +218,8 @@
 	http_msg_reset(&k->msg, HTTP_RESPONSE);
 	k->head_read = false;
 	k->msg.no_body = caller_wants_headers_only(c);
-	str_copy(k->id, sizeof(k->id), caller_request_id(c));
+	str_free(k->id);
+	k->id = str_dup(caller_request_id(c));
 	evbuffer_add(out, head->str, head->len);
 	evbuffer_add_printf(
 		out, "%s: %lld\r\n%s: %.*s\r\n\r\n", names[OUTSIDE_TIME_LEFT],
@@ -286,18 +288,17 @@
 static void read_keep_alive_timeout(link_t *k)
 {
 	str_t v = http_msg_get(&k->msg, "Keep-Alive");
-	char text[64];
-	unsigned long seconds;
-	const char *at;
+	char *text = g_strndup(v.s, v.sz);
+	const char *at = strstr(text, "timeout=");
+	unsigned long seconds = MAX_IDLE_SECONDS;
 
-	str_copy(text, sizeof(text), v);
-	at = strstr(text, "timeout=");
-	if (!at)
-		return;
-	seconds = strtoul(at + 8, NULL, 10);
+	if (at)
+		seconds = strtoul(at + strlen("timeout="), NULL, 10);
 	if (seconds > MAX_IDLE_SECONDS)
 		seconds = MAX_IDLE_SECONDS;
-	k->target->idle_time = (usec_t)seconds * USEC_PER_SEC;
+	if (at)
+		k->target->idle_time = (usec_t)seconds * USEC_PER_SEC;
+	g_free(text);
 }
 
 /* Seconds, possibly with a fraction; below 0 if the text is neither. A date is
@@ -433,7 +434,7 @@
 
 	if (!http_msg_has(&k->msg, name))
 		return !k->had_answer;
-	return str_eq(id, str_of(k->id));
+	return str_eq(id, k->id);
 }
 
 static void log_stray_answer(const link_t *k, const char *what)
@@ -443,7 +444,7 @@
 	log_json(
 		G_LOG_LEVEL_INFO, "stray answer",
 		"\"what\":\"%s\",\"server\":\"%s\",\"request\":%s,\"got\":%s",
-		what, k->target->addr, log_quote(id, sizeof(id), str_of(k->id)),
+		what, k->target->addr, log_quote(id, sizeof(id), k->id),
 		log_quote(got, sizeof(got),
 			  http_msg_get(&k->msg,
 				       k->links->e->protocol
--- a/standin/world_server.c
+++ b/standin/world_server.c
@@ -159,8 +159,9 @@
 static void append_notices(GString *out, const world_server_t *s)
 {
 	if (s->keep_alive_s)
-		g_string_append_printf(out, "Keep-Alive: timeout=%u\r\n",
-				       s->keep_alive_s);
+		g_string_append_printf(out,
+				       "Keep-Alive: max=%064u, timeout=%u\r\n",
+				       1000U, s->keep_alive_s);
 	if (s->says_leaving)
 		g_string_append_printf(out, "%s: 1\r\n",
 				       header(s, OUTSIDE_LEAVING));
@@ -352,10 +353,9 @@
 		http_msg_get(&c->msg, header(c->server, OUTSIDE_REQUEST_ID));
 	server_fault_t f = next_fault(c->server);
 	GString *out = g_string_new(NULL);
-	char id[64];
+	char *id = g_strndup(rid.s, rid.sz);
 	bool keep;
 
-	str_copy(id, sizeof(id), rid);
 	if (f != FAULT_NOT_RUN && f != FAULT_WRONG_SERVER)
 		count_run(c, id);
 	if (f == FAULT_NO_ANSWER || write_endless(c, f, id))
@@ -379,6 +379,7 @@
 	}
 out:
 	g_string_free(out, TRUE);
+	g_free(id);
 }
 
 static void on_read_on(evutil_socket_t fd, short what, void *arg)
@@ -403,20 +404,22 @@
 static bool answer_early(world_conn_t *c)
 {
 	world_server_t *s = c->server;
+	str_t rid;
 	GString *out;
-	char id[64];
+	char *id;
 
 	if (!c->msg.headers_done || c->answered_early || c->msg.done ||
 	    s->fault != FAULT_EARLY_ANSWER || next_fault(s) == FAULT_NONE)
 		return false;
 	c->answered_early = true;
-	str_copy(id, sizeof(id),
-		 http_msg_get(&c->msg, header(s, OUTSIDE_REQUEST_ID)));
+	rid = http_msg_get(&c->msg, header(s, OUTSIDE_REQUEST_ID));
+	id = g_strndup(rid.s, rid.sz);
 	count_run(c, id);
 	out = g_string_new(NULL);
 	append_answer(out, s, id, 200, true);
 	write_text(c, out);
 	g_string_free(out, TRUE);
+	g_free(id);
 	bufferevent_disable(c->bev, EV_READ);
 	world_conn_set_timer(c, EARLY_ANSWER_MS, on_read_on);
 	return true;
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -481,6 +481,62 @@
 	world_free(r.w);
 }
 
+/* Guards against text of callers that is cut: ids, hosts and time limits of any
+ * length within the limit for headers. */
+static void test_long_text(void)
+{
+	enum { HOST = 300, CUT = 256 };
+	static const struct {
+		int id;	  /* bytes of the request's id */
+		int ms;	  /* digits of the time left, which is 900 */
+		int host; /* bytes of the host */
+		unsigned status;
+	} cases[] = {
+		{ 63, 3, 1, 200 },   { 64, 3, 1, 200 },
+		{ 700, 3, 1, 200 },  { 8, 40, 1, 200 },
+		{ 8, 3, HOST, 200 }, { 8, 3, HOST + 1, 404 },
+		{ 8, 3, CUT, 404 },
+	};
+	setup_t r = setup_new();
+	GString *conf = g_string_new(CONF_HEAD CONF_ALL CONF_ONE);
+	unsigned status;
+	size_t i;
+
+	g_string_append(conf, ",{\"name\":\"long\",\"host\":\"");
+	for (i = 0; i < HOST; i++)
+		g_string_append_c(conf, 'h');
+	g_string_append(
+		conf,
+		"\",\"prefix\":\"/one/\",\"routeType\":"
+		"\"idempotent\",\"timeoutMs\":1000,\"targetLatencyMs\":300,"
+		"\"service\":\"a\"}" CONF_TAIL);
+	publish_conf(r.w, conf->str, 4);
+	world_run_loop(r.w, 500);
+	wait_confirmed(&r);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		GString *host = g_string_new(NULL), *id = g_string_new(NULL);
+		char *bytes;
+
+		while (host->len < (size_t)cases[i].host)
+			g_string_append_c(host, 'h');
+		while (id->len < (size_t)cases[i].id)
+			g_string_append_c(id, 'i');
+		bytes = g_strdup_printf(
+			"GET /one/x HTTP/1.1\r\nHost: %s\r\n"
+			"Request-Id: %s\r\nDeadline-Ms: %0*d\r\n\r\n",
+			host->str, id->str, cases[i].ms, 900);
+		status = request_status(&r, bytes);
+		if (status != cases[i].status)
+			printf("\n  case %zu: status %u\n", i, status);
+		CU_ASSERT_EQUAL(status, cases[i].status);
+		g_free(bytes);
+		g_string_free(host, TRUE);
+		g_string_free(id, TRUE);
+	}
+	g_string_free(conf, TRUE);
+	world_free(r.w);
+}
+
 /* Pipelined requests on one connection get their answers in order. */
 static void test_pipeline(void)
 {
@@ -1288,6 +1344,7 @@
 	{ "an answer before the body was read", test_early_answer },
 	{ "answers without end", test_endless_answers },
 	{ "valid and invalid requests", test_callers },
+	{ "long text in header lines", test_long_text },
 	{ "pipelined requests", test_pipeline },
 	{ "a caller closes its connection", test_caller_closes },
 	{ "configurations", test_configuration },
