Connections to servers: no two requests with the same id on one of them

With more attempts left, the daemon sent such a request to another server too, and it ran twice.

Cause: an answer was matched by the request's id alone, which is the same in all sends of a request. After a refusal by all servers the daemon sent the request again on the connection of its earlier send; a late second copy of that refusal was taken for the answer to the running send. A caller's own repeat with the same id was hit in the same way, with refusals and with successes.

Change: a connection remembers the hashes of the ids it has carried, is not chosen for one of these, and closes after 1,000 requests. A request without an id takes no connection that had an answer; an answer to another request counts as an answer of the connection, so that one without an id is not accepted behind it.

--- a/daemon/edge_link.c
+++ b/daemon/edge_link.c
@@ -3,6 +3,11 @@
  * The pool of connections to servers. A connection (link) carries one request
  * at a time. It is reused only if the last answer was complete, belonged to the
  * request and was followed by no other bytes.
+ *
+ * An answer belongs to the request that is open on its connection if it has
+ * that request's id. A server may send a late second copy of any earlier
+ * answer, so a connection never carries two requests with the same id: neither
+ * two sends of one request, nor a request that a caller sends again.
  */
 #include <arpa/inet.h>
 #include <stdio.h>
@@ -25,6 +30,8 @@
  * hosts lose power, servers hold the old connections for some seconds beside
  * the new ones: with 2 s here, together they exceed the connection limits. */
 #define SPARE_IDLE_TIME (1 * USEC_PER_SEC)
+/* Limits link_t::ids. */
+#define MAX_LINK_REQUESTS 1000
 #define IDLE_CHECK_PERIOD (250 * USEC_PER_MSEC)
 /* Limit of all answers together that are being received; the smallest hosts
  * have 160 MB. */
@@ -60,6 +67,7 @@
 	uint64_t aid;	 /* attempt; 0: none */
 	bool head_read;	 /* read_notices() was called for the answer */
 	str_t id;	 /* of the request; owned */
+	GArray *ids;	 /* hashes (uint64_t) of the ids of all its requests */
 	size_t received; /* bytes of the current answer */
 	usec_t last_used_at;
 } link_t;
@@ -102,6 +110,7 @@
 	g_hash_table_remove(k->links->open, k);
 	bufferevent_free(k->bev);
 	http_msg_clear(&k->msg);
+	g_array_free(k->ids, TRUE);
 	str_free(k->id);
 	free(k);
 	target_free_if_unused(t);
@@ -117,6 +126,7 @@
 	k->links = l;
 	k->target = t;
 	http_msg_init(&k->msg, HTTP_RESPONSE);
+	k->ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	k->bev = bufferevent_socket_new(l->e->base, edge_socket(),
 					BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(k->bev, on_read, NULL, on_event, k);
@@ -169,22 +179,43 @@
 	link_free(k);
 }
 
-/* Returns a reusable idle connection or NULL; closes idle connections that must
- * not be reused. */
-static link_t *pop_idle(target_t *t, bool at_most_once, usec_t now)
+static uint64_t hash_id(str_t id)
 {
-	link_t *k;
-	usec_t idle_for;
-
-	while ((k = g_queue_peek_head(&t->idle))) {
-		idle_for = now - k->last_used_at;
-		if (evbuffer_get_length(bufferevent_get_input(k->bev)) == 0 &&
-		    idle_for < t->idle_time - IDLE_MARGIN &&
-		    !(at_most_once && idle_for > ONCE_MAX_IDLE)) {
-			g_queue_pop_head(&t->idle);
+	return str_hash(id, 0);
+}
+
+/* Whether an answer with the id may be that of an earlier request of the
+ * connection. Requests without an id all look alike. */
+static bool has_carried(const link_t *k, str_t id)
+{
+	uint64_t hash = hash_id(id);
+	guint i;
+
+	for (i = 0; i < k->ids->len; i++)
+		if (g_array_index(k->ids, uint64_t, i) == hash)
+			return true;
+	return id.sz == 0 && k->had_answer;
+}
+
+/* Returns a reusable idle connection for a request with the id, or NULL; closes
+ * idle connections that must not be reused. */
+static link_t *pop_idle(target_t *t, str_t id, bool at_most_once, usec_t now)
+{
+	GList *at = t->idle.head;
+
+	while (at) {
+		link_t *k = at->data;
+		usec_t idle_for = now - k->last_used_at;
+
+		at = at->next;
+		if (evbuffer_get_length(bufferevent_get_input(k->bev)) ||
+		    idle_for >= t->idle_time - IDLE_MARGIN ||
+		    (at_most_once && idle_for > ONCE_MAX_IDLE)) {
+			link_free(k);
+		} else if (!has_carried(k, id)) {
+			g_queue_remove(&t->idle, k);
 			return k;
 		}
-		link_free(k);
 	}
 	return NULL;
 }
@@ -214,12 +245,15 @@
 	const GString *head = caller_forwarded_headers(c);
 	usec_t time_left_ms = (act->send.deadline - now) / USEC_PER_MSEC;
 	str_t body = caller_body(c);
+	uint64_t hash;
 
 	http_msg_reset(&k->msg, HTTP_RESPONSE);
 	k->head_read = false;
 	k->msg.no_body = caller_wants_headers_only(c);
 	str_free(k->id);
 	k->id = str_dup(caller_request_id(c));
+	hash = hash_id(k->id);
+	g_array_append_val(k->ids, hash);
 	evbuffer_add(out, head->str, head->len);
 	evbuffer_add_printf(
 		out, "%s: %lld\r\n%s: %.*s\r\n\r\n", names[OUTSIDE_TIME_LEFT],
@@ -233,7 +267,8 @@
 {
 	usec_t now = clock_now();
 	target_t *t = target_find_or_add(l, act->send.server, act->send.addr);
-	link_t *k = pop_idle(t, act->send.non_idempotent, now);
+	link_t *k = pop_idle(t, caller_request_id(act->send.caller),
+			     act->send.non_idempotent, now);
 
 	t->keep_idle = act->send.keep_idle;
 	if (k)
@@ -457,7 +492,8 @@
 	struct evbuffer *in = bufferevent_get_input(k->bev);
 	rt_result_t r = classify_answer(k);
 	rt_reply_t *reply = NULL;
-	bool keep = k->msg.keep_alive && !k->target->removed && r != RT_MOVED;
+	bool keep = k->msg.keep_alive && !k->target->removed && r != RT_MOVED &&
+		    k->ids->len < MAX_LINK_REQUESTS;
 
 	set_received(k, 0);
 	if (evbuffer_get_length(in)) {
@@ -533,7 +569,7 @@
 		 * the answer to the current one may follow. */
 		if (k->msg.parser.status_code >= 200) {
 			log_stray_answer(k, "of another request");
-			k->msg.keep_alive = false;
+			k->had_answer = true;
 		}
 		http_msg_reset(&k->msg, HTTP_RESPONSE);
 		k->head_read = false;
--- a/standin/libworld.h
+++ b/standin/libworld.h
@@ -16,6 +16,7 @@
 	bool silent;	     /**< no request is answered any more */
 	bool answering;	     /**< a request was received, no answer sent yet */
 	bool answered_early; /**< before its body was read */
+	char *copy; /**< written once more before the next request is handled */
 	void (*on_request)(struct world_conn *c);
 	void (*on_closed)(struct world_conn *c); /**< NULL: not called */
 } world_conn_t;
--- a/standin/world.h
+++ b/standin/world.h
@@ -25,9 +25,13 @@
 	FAULT_FOREIGN_ANSWER,
 	/** An answer, and an unrequested one 60 ms later. */
 	FAULT_SECOND_ANSWER,
-	FAULT_RESET,	  /**< runs the request, then resets the connection */
-	FAULT_NO_ANSWER,  /**< runs the request and never answers */
-	FAULT_NOT_RUN,	  /**< status 503: the request was not run */
+	FAULT_RESET,	 /**< runs the request, then resets the connection */
+	FAULT_NO_ANSWER, /**< runs the request and never answers */
+	FAULT_NOT_RUN,	 /**< status 503: the request was not run */
+	/** As FAULT_NONE or FAULT_NOT_RUN, with a second copy of the answer
+	 * where that to the connection's next request is due. */
+	FAULT_COPIED_ANSWER,
+	FAULT_COPIED_NOT_RUN,
 	FAULT_STATUS_500, /**< runs the request, then status 500 */
 	/** Status 421: the request is for another server. */
 	FAULT_WRONG_SERVER,
--- a/standin/world_server.c
+++ b/standin/world_server.c
@@ -88,6 +88,7 @@
 			   &now, sizeof(now));
 	if (c->timer)
 		event_free(c->timer);
+	g_free(c->copy);
 	bufferevent_free(c->bev);
 	http_msg_clear(&c->msg);
 	g_free(c);
@@ -308,6 +309,7 @@
 		append_answer(out, c->server, id, 200, true);
 		break;
 	case FAULT_NOT_RUN:
+	case FAULT_COPIED_NOT_RUN:
 		append_refusal(out, c->server, id);
 		break;
 	case FAULT_WRONG_SERVER:
@@ -356,7 +358,8 @@
 	char *id = g_strndup(rid.s, rid.sz);
 	bool keep;
 
-	if (f != FAULT_NOT_RUN && f != FAULT_WRONG_SERVER)
+	if (f != FAULT_NOT_RUN && f != FAULT_COPIED_NOT_RUN &&
+	    f != FAULT_WRONG_SERVER)
 		count_run(c, id);
 	if (f == FAULT_NO_ANSWER || write_endless(c, f, id))
 		goto out;
@@ -366,6 +369,8 @@
 	}
 	keep = write_fault(c, f, id, out);
 	write_text(c, out);
+	if (f == FAULT_COPIED_ANSWER || f == FAULT_COPIED_NOT_RUN)
+		c->copy = g_strdup(out->str);
 	if (f == FAULT_SECOND_ANSWER)
 		world_conn_set_timer(c, SECOND_ANSWER_DELAY_MS,
 				     on_second_answer);
@@ -434,6 +439,11 @@
 
 static void handle_server_request(world_conn_t *c)
 {
+	if (c->copy)
+		evbuffer_add(bufferevent_get_output(c->bev), c->copy,
+			     strlen(c->copy));
+	g_free(c->copy);
+	c->copy = NULL;
 	if (c->server->work_ms)
 		world_conn_set_timer(c, c->server->work_ms, on_work_done);
 	else
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -199,6 +199,54 @@
 	}
 }
 
+/*
+ * Guards against an answer that is taken for that of another send with the same
+ * id: the server writes a second, late copy of its earlier answer on the
+ * connection. The request is sent again by the daemon, after both servers
+ * refused it, or by its caller.
+ */
+static void test_copied_answers(void)
+{
+	enum { WORK_MS = 100 };
+	static const struct {
+		server_fault_t fault;
+		const char *path;
+		unsigned requests; /* by the caller, all with the same id */
+		unsigned runs;
+	} cases[] = {
+		{ FAULT_COPIED_NOT_RUN, "/once/", 1, 1 },
+		{ FAULT_COPIED_NOT_RUN, "/one/", 1, 1 },
+		{ FAULT_COPIED_ANSWER, "/once/", 2, 2 },
+		{ FAULT_COPIED_ANSWER, "/one/", 2, 2 },
+	};
+	char bytes[128];
+	world_answer_t a;
+	size_t i, j;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		setup_t r = setup_new();
+
+		r.a[0]->work_ms = WORK_MS;
+		r.a[0]->fault = cases[i].fault;
+		r.a[0]->faulty_requests = 1;
+		r.a[1]->fault = FAULT_NOT_RUN;
+		r.a[1]->faulty_requests = UINT_MAX;
+		snprintf(bytes, sizeof(bytes),
+			 "GET %sx HTTP/1.1\r\nHost: h\r\nRequest-Id: copy\r\n"
+			 "Deadline-Ms: 900\r\n\r\n",
+			 cases[i].path);
+		for (j = 0; j < cases[i].requests; j++) {
+			world_request(r.w, r.d->listen, bytes,
+				      ANSWER_TIMEOUT_MS, &a);
+			CU_ASSERT_EQUAL(a.status, 200);
+			CU_ASSERT(a.latency >= WORK_MS * USEC_PER_MSEC);
+			clear(&a);
+		}
+		CU_ASSERT_EQUAL(world_run_count(r.w, "copy"), cases[i].runs);
+		world_free(r.w);
+	}
+}
+
 static double metric(world_t *w, const world_daemon_t *d, const char *name);
 
 /* A server says in an answer of any kind that it leaves: it gets no further
@@ -1339,6 +1387,7 @@
 } tests[] = {
 	{ "answers of one and of all shards", test_answers },
 	{ "faults of servers", test_faults },
+	{ "late copies of answers", test_copied_answers },
 	{ "a server says that it leaves", test_server_says_leaving },
 	{ "a server asks for a pause", test_server_retry_after },
 	{ "an answer before the body was read", test_early_answer },
