Registry: bytes behind an answer are not taken for the next answer

Cause: what a registry sends behind an answer stayed in the connection's buffer and was read as the answer to the next request. With each answer doubled, every answer was that of an earlier request.

Change: a connection with bytes left behind an answer is closed, as connections to servers are; a log line tells of it.

Evidence: the new edge-test "bytes after the registry's answers" failed before with both protocols (200 in place of 404, a draining server got requests) and passes.

--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -328,6 +328,13 @@
 	}
 	evtimer_del(r->timer);
 	status = r->msg.parser.status_code;
+	if (evbuffer_get_length(bufferevent_get_input(bev))) {
+		/* They would be taken for the answer to the next request. */
+		log_json(G_LOG_LEVEL_WARNING,
+			 "bytes after the registry's answer", "\"addr\":\"%s\"",
+			 r->addr);
+		disconnect(r);
+	}
 	if (!r->msg.keep_alive)
 		disconnect(r);
 	if (status == 200) {
--- a/standin/world.c
+++ b/standin/world.c
@@ -85,14 +85,20 @@
 	w->protocol->append_item(out, it->key, it->value, it->revision);
 }
 
-static void reply_json(struct bufferevent *bev, unsigned status,
-		       const GString *body)
-{
-	evbuffer_add_printf(bufferevent_get_output(bev),
-			    "HTTP/1.1 %u X\r\nContent-Type: application/json"
-			    "\r\nContent-Length: %zu\r\n\r\n",
-			    status, body->len);
-	evbuffer_add(bufferevent_get_output(bev), body->str, body->len);
+static void reply_json(const world_t *w, struct bufferevent *bev,
+		       unsigned status, const GString *body)
+{
+	struct evbuffer *out = bufferevent_get_output(bev);
+	int copies = w->store_copies ? 2 : 1;
+
+	while (copies--) {
+		evbuffer_add_printf(out,
+				    "HTTP/1.1 %u X\r\n"
+				    "Content-Type: application/json\r\n"
+				    "Content-Length: %zu\r\n\r\n",
+				    status, body->len);
+		evbuffer_add(out, body->str, body->len);
+	}
 }
 
 /* The key after which a page of the list begins, unescaped; NULL if its escapes
@@ -134,7 +140,7 @@
 		g_string_replace(tail, "false", "true", 1);
 	g_string_append_printf(out, "%s%llu}", tail->str,
 			       (unsigned long long)w->revision);
-	reply_json(bev, 200, out);
+	reply_json(w, bev, 200, out);
 	g_string_free(tail, TRUE);
 	g_string_free(out, TRUE);
 	g_list_free(keys);
@@ -150,7 +156,7 @@
 		reply_list(w, bev, after);
 	} else {
 		error = g_string_new("{\"error\":\"after\"}");
-		reply_json(bev, 400, error);
+		reply_json(w, bev, 400, error);
 		g_string_free(error, TRUE);
 	}
 	g_free(after);
@@ -178,7 +184,7 @@
 	g_string_append_printf(out, "%s%llu}", frame[1],
 			       (unsigned long long)w->revision);
 	if (!first || always)
-		reply_json(bev, 200, out);
+		reply_json(w, bev, 200, out);
 	g_string_free(out, TRUE);
 	return !first || always;
 }
@@ -234,7 +240,7 @@
 
 	if (w->store_down) {
 		error = g_string_new("{\"error\":\"down\"}");
-		reply_json(c->bev, 503, error);
+		reply_json(w, c->bev, 503, error);
 		g_string_free(error, TRUE);
 	} else if (memcmp(target.s, w->protocol->list_path,
 			  strlen(w->protocol->list_path)) == 0) {
--- a/standin/world.h
+++ b/standin/world.h
@@ -153,6 +153,7 @@
 	bool store_silent;
 	/** The store answers each request with a head line without end. */
 	bool store_trickles;
+	bool store_copies;	 /**< the store writes each answer twice */
 	unsigned store_delay_ms; /**< time until the store handles a request */
 	unsigned
 		list_page; /**< most items in a page of the list; 0: no limit */
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -784,6 +784,27 @@
 	world_free(r.w);
 }
 
+/*
+ * Guards against bytes behind an answer of the registry that are taken for the
+ * next one: it writes each answer twice, and new state gets into force.
+ */
+static void test_copying_registry(void)
+{
+	setup_t r = setup_new();
+	unsigned i;
+
+	r.w->store_copies = true;
+	for (i = 0; i < 4; i++) {
+		world_put(r.w, "op/other", "a change ends the watch");
+		world_run_loop(r.w, 1200);
+	}
+	publish_conf(r.w, CONF_HEAD CONF_ALL CONF_TAIL, 9);
+	world_publish_server(r.a[0], "draining");
+	world_run_loop(r.w, 3500);
+	check_new_state(&r, r.d);
+	world_free(r.w);
+}
+
 /* The registry answers one daemon and not another one in another data centre.
  * The latter gets the changes from its neighbour, and is told when there are
  * none: its state does not grow old. */
@@ -1401,6 +1422,7 @@
 	{ "the registry is down", test_registry_down },
 	{ "watches that the registry never answers", test_lost_watches },
 	{ "a slow registry", test_slow_registry },
+	{ "bytes after the registry's answers", test_copying_registry },
 	{ "the state is confirmed by a neighbour",
 	  test_confirmed_by_neighbour },
 	{ "odd entries of another writer", test_odd_entries },
