HTTP messages: hop-by-hop lines in linear time, at most 4,096 lines

Cause: for each line that is copied, http_is_hop_by_hop() read all lines for a Connection that names it. Callers' requests went through the same loop.

Change: the lines are marked once a message, and names in Connection are looked up among the sorted lines. A message has at most 4,096 lines: an answer with more is no answer, a request with more gets 431.

The unit test "hop-by-hop header lines" is replaced by one with more lines that checks each line of a message, since the question is now asked of a line, not of a name; "many header lines" bounds the growth of the time.

--- a/daemon/edge_caller.c
+++ b/daemon/edge_caller.c
@@ -264,7 +264,7 @@
 	g_string_append_len(c->forwarded_headers, target.s, (gssize)target.sz);
 	g_string_append(c->forwarded_headers, " HTTP/1.1\r\n");
 	for (i = 0; http_msg_header(m, i, &name, &value); i++) {
-		if (http_is_hop_by_hop(m, name) || is_set_by_daemon(c, name))
+		if (!http_msg_forwards(m, i) || is_set_by_daemon(c, name))
 			continue;
 		g_string_append_len(c->forwarded_headers, name.s,
 				    (gssize)name.sz);
@@ -349,6 +349,7 @@
 	} faults[] = {
 		[HTTP_FAULT_SYNTAX] = { 400, "syntax" },
 		[HTTP_FAULT_HEADER_SIZE] = { 431, "header_size" },
+		[HTTP_FAULT_HEADER_LINES] = { 431, "header_lines" },
 		[HTTP_FAULT_BODY_SIZE] = { 413, "body_size" },
 	};
 
--- a/daemon/edge_http.c
+++ b/daemon/edge_http.c
@@ -11,6 +11,139 @@
 static int on_header_value(http_parser *p, const char *at, size_t n);
 static int on_headers_done(http_parser *p);
 static int on_body(http_parser *p, const char *at, size_t n);
+/* A header line and its name, to find lines by name. */
+typedef struct named_line {
+	str_t name;
+	http_header_t *line;
+} named_line_t;
+
+static str_t text_at(const http_msg_t *m, size_t at, size_t sz)
+{
+	return (str_t){ m->text->str + at, sz };
+}
+
+static int compare_names(str_t a, str_t b)
+{
+	int order = strncasecmp(a.s, b.s, a.sz < b.sz ? a.sz : b.sz);
+
+	if (order)
+		return order;
+	return (a.sz > b.sz) - (a.sz < b.sz);
+}
+
+static int compare_lines(const void *a, const void *b)
+{
+	return compare_names(((const named_line_t *)a)->name,
+			     ((const named_line_t *)b)->name);
+}
+
+/* All header lines by name; the caller frees the array. */
+static GArray *sort_lines(const http_msg_t *m)
+{
+	GArray *lines = g_array_new(FALSE, FALSE, sizeof(named_line_t));
+	guint i;
+
+	for (i = 0; i < m->headers->len; i++) {
+		http_header_t *h = &g_array_index(m->headers, http_header_t, i);
+		named_line_t x = { text_at(m, h->name, h->name_sz), h };
+
+		g_array_append_val(lines, x);
+	}
+	g_array_sort(lines, compare_lines);
+	return lines;
+}
+
+/* Marks the lines with a name as hop-by-hop. */
+static void mark_lines(const GArray *sorted, str_t name)
+{
+	const named_line_t *v = (const named_line_t *)sorted->data;
+	size_t from = 0, to = sorted->len, middle;
+
+	while (from < to) {
+		middle = from + (to - from) / 2;
+		if (compare_names(v[middle].name, name) < 0)
+			from = middle + 1;
+		else
+			to = middle;
+	}
+	for (; from < sorted->len && compare_names(v[from].name, name) == 0;
+	     from++) {
+		/* Equal lines were marked together. */
+		if (v[from].line->hop_by_hop)
+			break;
+		v[from].line->hop_by_hop = true;
+	}
+}
+
+/* Removes the first element of a comma-separated list and returns it without
+ * blanks. */
+static str_t next_element(str_t *list)
+{
+	const char *comma = memchr(list->s, ',', list->sz);
+	size_t sz = comma ? (size_t)(comma - list->s) : list->sz;
+	str_t v = { list->s, sz };
+
+	sz += comma ? 1 : 0;
+	*list = (str_t){ list->s + sz, list->sz - sz };
+	while (v.sz && (*v.s == ' ' || *v.s == '\t'))
+		v = (str_t){ v.s + 1, v.sz - 1 };
+	while (v.sz && (v.s[v.sz - 1] == ' ' || v.s[v.sz - 1] == '\t'))
+		v.sz--;
+	return v;
+}
+
+static bool is_always_hop_by_hop(str_t name)
+{
+	static const char *const names[] = {
+		"Connection",
+		"Keep-Alive",
+		"Proxy-Connection",
+		"Proxy-Authenticate",
+		"Proxy-Authorization",
+		"TE",
+		"Trailer",
+		"Transfer-Encoding",
+		"Upgrade",
+		"Expect",
+		"Content-Length",
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++)
+		if (http_name_equals(name, names[i]))
+			return true;
+	return false;
+}
+
+/* Marks the lines that are hop-by-hop (RFC 9110, section 7.6.1). Its time must
+ * not grow with lines times names in Connection: their sender chooses both. */
+static void mark_hop_by_hop(http_msg_t *m)
+{
+	GArray *sorted = NULL;
+	str_t name, list, element;
+	size_t i;
+
+	for (i = 0; http_msg_header(m, i, &name, &list); i++)
+		g_array_index(m->headers, http_header_t, i).hop_by_hop =
+			is_always_hop_by_hop(name);
+	for (i = 0; http_msg_header(m, i, &name, &list); i++) {
+		if (!http_name_equals(name, "Connection"))
+			continue;
+		while (list.sz) {
+			element = next_element(&list);
+			if (element.sz == 0 ||
+			    http_name_equals(element, "close") ||
+			    http_name_equals(element, "keep-alive"))
+				continue;
+			if (!sorted)
+				sorted = sort_lines(m);
+			mark_lines(sorted, element);
+		}
+	}
+	if (sorted)
+		g_array_free(sorted, TRUE);
+}
+
 static int on_message_done(http_parser *p);
 
 static const http_parser_settings callbacks = {
@@ -98,8 +231,11 @@
 	for (i = 0; i < n; i++)
 		if (at[i] == ' ' || at[i] == '\t')
 			return set_fault(m, HTTP_FAULT_SYNTAX);
-	if (m->headers->len == 0 || m->in_value)
+	if (m->headers->len == 0 || m->in_value) {
+		if (m->headers->len == HTTP_MAX_HEADER_LINES)
+			return set_fault(m, HTTP_FAULT_HEADER_LINES);
 		g_array_append_val(m->headers, header);
+	}
 	m->in_value = false;
 	last_header(m)->name_sz += n;
 	return append_text(m, at, n);
@@ -143,6 +279,7 @@
 
 	m->done = true;
 	m->keep_alive = http_should_keep_alive(p);
+	mark_hop_by_hop(m);
 	/* Stop here: the bytes that follow belong to the next message. */
 	http_parser_pause(p, 1);
 	return 0;
@@ -179,11 +316,6 @@
 	return m->done;
 }
 
-static str_t text_at(const http_msg_t *m, size_t at, size_t sz)
-{
-	return (str_t){ m->text->str + at, sz };
-}
-
 str_t http_msg_target(const http_msg_t *m)
 {
 	return text_at(m, 0, m->start_text_sz);
@@ -234,50 +366,7 @@
 	return find_header(m, name, &value);
 }
 
-/* Whether a comma-separated list contains the name. */
-static bool list_contains(str_t list, str_t name)
+bool http_msg_forwards(const http_msg_t *m, size_t i)
 {
-	size_t from = 0, to, end;
-
-	while (from < list.sz) {
-		for (end = from; end < list.sz && list.s[end] != ','; end++)
-			;
-		for (to = end; to > from && list.s[to - 1] == ' '; to--)
-			;
-		while (from < to && list.s[from] == ' ')
-			from++;
-		if (to - from == name.sz &&
-		    strncasecmp(list.s + from, name.s, name.sz) == 0)
-			return true;
-		from = end + 1;
-	}
-	return false;
-}
-
-bool http_is_hop_by_hop(const http_msg_t *m, str_t name)
-{
-	static const char *const hop_by_hop[] = {
-		"Connection",
-		"Keep-Alive",
-		"Proxy-Connection",
-		"Proxy-Authenticate",
-		"Proxy-Authorization",
-		"TE",
-		"Trailer",
-		"Transfer-Encoding",
-		"Upgrade",
-		"Expect",
-		"Content-Length",
-	};
-	str_t other, value;
-	size_t i;
-
-	for (i = 0; i < sizeof(hop_by_hop) / sizeof(hop_by_hop[0]); i++)
-		if (http_name_equals(name, hop_by_hop[i]))
-			return true;
-	for (i = 0; http_msg_header(m, i, &other, &value); i++)
-		if (http_name_equals(other, "Connection") &&
-		    list_contains(value, name))
-			return true;
-	return false;
+	return !g_array_index(m->headers, http_header_t, i).hop_by_hop;
 }
--- a/daemon/edge_link.c
+++ b/daemon/edge_link.c
@@ -432,7 +432,7 @@
 	r->refs = 1;
 	r->status = m->parser.status_code;
 	for (i = 0; http_msg_header(m, i, &name, &value); i++)
-		if (!http_is_hop_by_hop(m, name))
+		if (http_msg_forwards(m, i))
 			append_header(head, name, value);
 	r->head.sz = head->len;
 	g_string_append_len(head, stamp.s, (gssize)stamp.sz);
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -32,15 +32,20 @@
 	HTTP_FAULT_NONE,
 	HTTP_FAULT_SYNTAX,
 	HTTP_FAULT_HEADER_SIZE,
+	HTTP_FAULT_HEADER_LINES,
 	HTTP_FAULT_BODY_SIZE,
 } http_fault_t;
 
+/** Header lines of a message; as many fit into a head of 16 KB. */
+#define HTTP_MAX_HEADER_LINES 4096
+
 /** A header line: offsets and lengths in http_msg_t::text, in bytes. */
 typedef struct http_header {
 	size_t name;
 	size_t name_sz;
 	size_t value;
 	size_t value_sz;
+	bool hop_by_hop; /**< set once the message is complete */
 } http_header_t;
 
 /** A request or a response that is being read. */
@@ -90,10 +95,10 @@
 /** The target of a request, or the reason phrase of a response. */
 str_t http_msg_target(const http_msg_t *m);
 /**
- * Whether a header line must not be forwarded, since it is hop-by-hop
- * (RFC 9110, section 7.6.1) or named in the message's Connection line.
+ * Whether the i-th header line of a complete message may be forwarded: it is
+ * neither hop-by-hop (RFC 9110, section 7.6.1) nor named in a Connection line.
  */
-bool http_is_hop_by_hop(const http_msg_t *m, str_t name);
+bool http_msg_forwards(const http_msg_t *m, size_t i);
 /** Compares header names; letter case does not count. */
 bool http_name_equals(str_t name, const char *other);
 
--- a/standin/world.h
+++ b/standin/world.h
@@ -43,6 +43,8 @@
 	FAULT_ENDLESS_JUNK,
 	/** Answers before it reads the body, and reads that 100 ms later. */
 	FAULT_EARLY_ANSWER,
+	/** 131,000 header lines where the blank line after the head is due. */
+	FAULT_MANY_LINES,
 	FAULT_TRICKLE, /**< a header line without end, a byte each 10 ms */
 	FAULT_MAX,
 } server_fault_t;
--- a/standin/world_server.c
+++ b/standin/world_server.c
@@ -10,6 +10,7 @@
 
 #define SECOND_ANSWER_DELAY_MS 60
 #define TRICKLE_MS 10
+#define MANY_LINES 131000
 #define MAX_REQUEST_BYTES ((size_t)32 << 20) /* of a body */
 #define EARLY_ANSWER_MS 100		     /* from the answer to reading on */
 #define EARLY_READ_RATE ((size_t)256 << 10)  /* bytes in 10 ms */
@@ -286,6 +287,20 @@
 	return true;
 }
 
+static void append_many_lines(GString *out, const world_server_t *s,
+			      const char *id)
+{
+	GString *lines = g_string_new(NULL);
+	unsigned i;
+
+	for (i = 0; i < MANY_LINES; i++)
+		g_string_append(lines, "a:\r\n");
+	append_answer(out, s, id, 200, true);
+	g_string_insert_len(out, strstr(out->str, "\r\n\r\n") + 2 - out->str,
+			    lines->str, (gssize)lines->len);
+	g_string_free(lines, TRUE);
+}
+
 /* Writes the answer for a fault; returns true if the connection stays open. */
 static bool write_fault(world_conn_t *c, server_fault_t f, const char *id,
 			GString *out)
@@ -319,6 +334,9 @@
 				       header(c->server, OUTSIDE_REQUEST_ID),
 				       id);
 		break;
+	case FAULT_MANY_LINES:
+		append_many_lines(out, c->server, id);
+		break;
 	case FAULT_STATUS_500:
 		append_answer(out, c->server, id, 500, true);
 		break;
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -165,6 +165,8 @@
 		{ FAULT_ENDLESS_BODY, "/once/", 502, 1 },
 		{ FAULT_ENDLESS_JUNK, "/one/", 200, 2 },
 		{ FAULT_ENDLESS_JUNK, "/once/", 502, 1 },
+		{ FAULT_MANY_LINES, "/one/", 200, 2 },
+		{ FAULT_MANY_LINES, "/once/", 502, 1 },
 		{ FAULT_TRICKLE, "/one/", 200, 2 },
 		{ FAULT_TRICKLE, "/once/", 504, 1 },
 	};
@@ -488,6 +490,38 @@
 	world_free(r.w);
 }
 
+/* Guards against an answer that stops the daemon: while one server sends heads
+ * of many lines, readiness checks and requests to the other one are answered.
+ */
+static void test_many_lines(void)
+{
+	static const char ready[] = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
+	/* Until the answer has been read; timeoutMs of the routes. */
+	enum { READ_MS = 100, LIMIT_MS = 1000 };
+	setup_t r = setup_new();
+	struct bufferevent *bev = world_connect(r.w, r.d->listen);
+	world_answer_t a;
+	size_t i;
+
+	r.a[0]->fault = FAULT_MANY_LINES;
+	r.a[0]->faulty_requests = 1;
+	world_write(r.w, bev, GET("/once/x", "lines"));
+	world_run_loop(r.w, READ_MS);
+	CU_ASSERT_EQUAL(r.a[0]->faulty_requests, 0);
+	for (i = 0; i < 3; i++) {
+		world_request(r.w, r.d->ready, ready, LIMIT_MS, &a);
+		CU_ASSERT_EQUAL(a.status, 200);
+		clear(&a);
+	}
+	world_request_on(r.w, bev, "", ANSWER_TIMEOUT_MS, &a);
+	CU_ASSERT_EQUAL(a.status, 502);
+	CU_ASSERT_EQUAL(world_run_count(r.w, "lines"), 1);
+	clear(&a);
+	CU_ASSERT_EQUAL(request_status(&r, GET("/all/x", "after")), 200);
+	bufferevent_free(bev);
+	world_free(r.w);
+}
+
 /* Valid and invalid requests of callers. */
 static void test_callers(void)
 {
@@ -1413,6 +1447,7 @@
 	{ "a server asks for a pause", test_server_retry_after },
 	{ "an answer before the body was read", test_early_answer },
 	{ "answers without end", test_endless_answers },
+	{ "answers with many header lines", test_many_lines },
 	{ "valid and invalid requests", test_callers },
 	{ "long text in header lines", test_long_text },
 	{ "pipelined requests", test_pipeline },
--- a/tests/unit_outside.c
+++ b/tests/unit_outside.c
@@ -2,6 +2,7 @@
 #include <CUnit/CUnit.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "fleet.h"
 #include "libedge.h"
@@ -129,33 +130,114 @@
 	}
 }
 
+/* Which lines of a message are forwarded. */
 static void test_hop_by_hop(void)
 {
-	static const char bytes[] = "GET / HTTP/1.1\r\nHost: h\r\n"
-				    "Connection: close, X-Mine\r\n"
-				    "X-Mine: 1\r\nX-Other: 2\r\n\r\n";
+	static const char bytes[] =
+		"GET / HTTP/1.1\r\nHost: h\r\n"
+		"connection: close, X-Mine,,\tX-last \r\n"
+		"X-Mine: 1\r\nx-mine: 2\r\nX-Other: 3\r\nX-Mine-Too: 4\r\n"
+		"Keep-Alive: 5\r\nTE: 6\r\nX-Last: 7\r\n"
+		"Connection: X-Other2\r\nX-Other2: 8\r\n\r\n";
 	static const struct {
 		const char *name;
-		bool hop;
+		bool forwarded;
 	} cases[] = {
-		{ "Host", false },	{ "connection", true },
-		{ "x-mine", true },	{ "X-Other", false },
-		{ "Keep-Alive", true }, { "TE", true },
+		{ "Host", true },	 { "connection", false },
+		{ "X-Mine", false },	 { "x-mine", false },
+		{ "X-Other", true },	 { "X-Mine-Too", true },
+		{ "Keep-Alive", false }, { "TE", false },
+		{ "X-Last", false },	 { "Connection", false },
+		{ "X-Other2", false },
 	};
 	struct evbuffer *in = evbuffer_new();
+	str_t name, value;
 	http_msg_t m;
 	size_t i;
 
 	http_msg_init(&m, HTTP_REQUEST);
 	evbuffer_add(in, bytes, sizeof(bytes) - 1);
 	CU_ASSERT(http_msg_feed(&m, in));
-	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
-		CU_ASSERT_EQUAL(http_is_hop_by_hop(&m, str_of(cases[i].name)),
-				cases[i].hop);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		CU_ASSERT(http_msg_header(&m, i, &name, &value));
+		CU_ASSERT(str_eq(name, str_of(cases[i].name)));
+		CU_ASSERT_EQUAL(http_msg_forwards(&m, i), cases[i].forwarded);
+	}
+	CU_ASSERT_FALSE(http_msg_header(&m, i, &name, &value));
 	http_msg_clear(&m);
 	evbuffer_free(in);
 }
 
+/* Appends n short header lines, each named in a Connection line before. */
+static void append_lines(struct evbuffer *in, size_t n)
+{
+	size_t i;
+
+	evbuffer_add_printf(in, "HTTP/1.1 200 OK\r\nConnection: close");
+	for (i = 0; i < n; i++)
+		evbuffer_add_printf(in, ",a%zu", i);
+	for (i = 0; i < n - 1; i++)
+		evbuffer_add_printf(in, "\r\na%zu:", i);
+	evbuffer_add_printf(in, "\r\nContent-Length: 0\r\n\r\n");
+}
+
+/* Processor time to read a message with n + 1 header lines, the least of some.
+ */
+static double read_time(size_t n)
+{
+	enum { TRIES = 9 };
+	struct evbuffer *in = evbuffer_new();
+	double least = 0;
+	http_msg_t m;
+	int i;
+
+	http_msg_init(&m, HTTP_RESPONSE);
+	for (i = 0; i < TRIES; i++) {
+		clock_t from;
+		double t;
+
+		append_lines(in, n);
+		http_msg_reset(&m, HTTP_RESPONSE);
+		from = clock();
+		CU_ASSERT(http_msg_feed(&m, in) && m.done);
+		t = (double)(clock() - from);
+		least = i && least < t ? least : t;
+	}
+	http_msg_clear(&m);
+	evbuffer_free(in);
+	return least;
+}
+
+/* Guards against time that grows with the square of the number of lines: of
+ * four times as many it would be 16 times as much. */
+static void test_many_lines(void)
+{
+	enum { FEW = 1000, MANY = 4000 };
+	static const struct {
+		size_t lines;
+		http_fault_t fault;
+	} cases[] = {
+		{ HTTP_MAX_HEADER_LINES, HTTP_FAULT_NONE },
+		{ HTTP_MAX_HEADER_LINES + 1, HTTP_FAULT_HEADER_LINES },
+		{ 131000, HTTP_FAULT_HEADER_LINES },
+	};
+	http_msg_t m;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct evbuffer *in = evbuffer_new();
+
+		http_msg_init(&m, HTTP_RESPONSE);
+		append_lines(in, cases[i].lines - 1);
+		CU_ASSERT_EQUAL(http_msg_feed(&m, in),
+				cases[i].fault == HTTP_FAULT_NONE);
+		CU_ASSERT_EQUAL(m.fault, cases[i].fault);
+		http_msg_clear(&m);
+		evbuffer_free(in);
+	}
+	CU_ASSERT(read_time(MANY) < 8 * read_time(FEW));
+}
+
 #define OWN_ENTRY(addr, slots, leaving, incarnation)                           \
 	"{\"service\":\"s\",\"addr\":" addr ",\"data_centre\":\"z\","          \
 	"\"slots\":" slots ",\"leaving\":" leaving ",\"warm_ms\":0,"           \
@@ -649,6 +731,7 @@
 		{ "HTTP request byte by byte", test_http_byte_by_byte },
 		{ "HTTP response ended by close", test_http_eof },
 		{ "hop-by-hop header lines", test_hop_by_hop },
+		{ "many header lines", test_many_lines },
 		{ "server entries, platform", test_platform_entries },
 		{ "server entries, own protocol", test_own_entries },
 		{ "configurations", test_configs },
