Settings: a figure that cannot be used no longer ends the daemon

Cause: the template made milliseconds of graceS by three zeros behind it, and settings.c took only whole numbers for most figures and refused the whole file for any other. true, false, no value, and figures out of range did the same; a window of 0 was accepted and divided by.

Change: figures may have fractions and may be text, so that the template can quote bounds; stop_limit_s takes seconds. A figure out of range is replaced by the nearest one, one that is no number leaves the value in force (the default at a start).

--- a/ctl/ctl_daemon.c
+++ b/ctl/ctl_daemon.c
@@ -17,12 +17,21 @@
 
 ctl_exit_t command_status(ctl_t *c)
 {
-	static const char *const columns[] = {
-		"daemon", "ready",	  "stopping",	       "revision",
-		"hash",	  "list_version", "list_age_s",	       "platform_read",
-		"reads",  "daemons",	  "daemons_suspected", "open_queries",
-		NULL
-	};
+	static const char *const columns[] = { "daemon",
+					       "ready",
+					       "stopping",
+					       "revision",
+					       "hash",
+					       "list_version",
+					       "list_age_s",
+					       "platform_read",
+					       "reads",
+					       "daemons",
+					       "daemons_suspected",
+					       "open_queries",
+					       "settings_refused",
+					       "settings_faults",
+					       NULL };
 	json_t *rows = json_array();
 	ctl_exit_t status = CTL_OK;
 	gchar **d;
--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -179,7 +179,7 @@
 
 usec_t edge_apply_share(const edge_t *e, double share)
 {
-	return (usec_t)(share * e->settings->apply_limit_ms) * USEC_PER_MSEC;
+	return settings_usec(share * e->settings->apply_limit_ms);
 }
 
 bool edge_is_ready(const edge_t *e)
@@ -249,8 +249,8 @@
 	if (r->edge.stopping)
 		return;
 	r->edge.stopping = true;
-	rt_begin_stop(r->edge.rt, s->stop_grace_ms * USEC_PER_MSEC,
-		      s->stop_limit_ms * USEC_PER_MSEC, clock_now());
+	rt_begin_stop(r->edge.rt, settings_usec(s->stop_grace_ms),
+		      settings_usec(s->stop_limit_ms), clock_now());
 	log_json(G_LOG_LEVEL_MESSAGE, "stop", "\"signal\":%d,\"open\":%zu",
 		 (int)sig, rt_open_requests(r->edge.rt));
 	evtimer_add(r->stop_timer, &tv);
@@ -267,7 +267,7 @@
 	if (s->policy)
 		p->policy = rt_policy_by_name(str_of(s->policy));
 	p->hosts = s->fleet_hosts;
-	p->max_state_age = s->apply_limit_ms * USEC_PER_MSEC;
+	p->max_state_age = settings_usec(s->apply_limit_ms);
 	p->extra_sends_share = s->extra_sends_share;
 	p->extra_sends_fixed = s->extra_sends_fixed;
 	p->extra_sends_window =
@@ -282,8 +282,19 @@
 		r->settings_mtime = st.st_mtim;
 }
 
+static void log_settings(const settings_t *s, const char *what, const char *why)
+{
+	log_json(s->nfaults ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_MESSAGE, what,
+		 "\"why\":\"%s\",\"faults\":%u,\"stop_limit_ms\":%.15g,"
+		 "\"apply_limit_ms\":%.15g,\"extra_share\":%.15g,"
+		 "\"extra_fixed\":%.15g,\"extra_window_s\":%.15g",
+		 why, s->nfaults, s->stop_limit_ms, s->apply_limit_ms,
+		 s->extra_sends_share, s->extra_sends_fixed,
+		 s->extra_sends_window_s);
+}
+
 /*
- * Applies new settings, or keeps the old ones if the new ones have a fault. A
+ * Applies new settings, or keeps the old ones if the new ones can't be read. A
  * change of a listening address takes effect at the next start of the process.
  */
 static void reload(run_t *r, const char *why)
@@ -293,7 +304,10 @@
 	rt_params_t p;
 
 	save_settings_mtime(r);
-	if (settings_read(r->settings_file, &s) != DAEMON_OK || !s.protocol) {
+	e->settings_refused = settings_read(r->settings_file, &r->settings,
+					    &s) != DAEMON_OK ||
+			      !s.protocol;
+	if (e->settings_refused) {
 		log_json(G_LOG_LEVEL_WARNING, "settings refused",
 			 "\"why\":\"%s\"", why);
 		settings_free(&s);
@@ -309,7 +323,7 @@
 		registry_free(e->registry);
 		e->registry = registry_start(e, s.registry_addr);
 	}
-	log_json(G_LOG_LEVEL_MESSAGE, "reload", "\"why\":\"%s\"", why);
+	log_settings(&r->settings, "reload", why);
 	edge_run_actions(e);
 }
 
@@ -368,7 +382,7 @@
 		.seeds = seeds,
 		.nseeds = n,
 		.initial_hosts = s->fleet_hosts,
-		.apply_time = s->apply_limit_ms * USEC_PER_MSEC,
+		.apply_time = settings_usec(s->apply_limit_ms),
 		.seed = str_hash(str_of(s->name), (uint64_t)clock_now()),
 	};
 
@@ -472,6 +486,7 @@
 		log_json(G_LOG_LEVEL_MESSAGE, "start",
 			 "\"name\":\"%s\",\"listen\":\"%s\"", r->settings.name,
 			 r->settings.listen);
+		log_settings(&r->settings, "settings", "start");
 		event_base_dispatch(r->edge.base);
 		answer_last_requests(&r->edge);
 		log_json(G_LOG_LEVEL_MESSAGE, "end",
--- a/daemon/edge_admin.c
+++ b/daemon/edge_admin.c
@@ -28,7 +28,7 @@
 
 	reply_json(
 		req,
-		json_pack("{ss sb sb sI sI sf sb sI sI sI sI}", "name",
+		json_pack("{ss sb sb sI sI sf sb sI sI sI sI sb sI}", "name",
 			  e->settings->name, "ready", edge_is_ready(e),
 			  "stopping", e->stopping, "revision",
 			  (json_int_t)(c ? c->revision : 0), "list_version",
@@ -41,7 +41,9 @@
 			  "reckoned",
 			  (json_int_t)fleet_estimated_hosts(e->fleet, now),
 			  "open_queries", (json_int_t)rt_open_requests(e->rt),
-			  "log_lines_dropped", (json_int_t)log_dropped()));
+			  "log_lines_dropped", (json_int_t)log_dropped(),
+			  "settings_refused", e->settings_refused,
+			  "settings_faults", (json_int_t)e->settings->nfaults));
 }
 
 static json_t *server_json(const rt_server_report_t *r)
--- a/daemon/edge_metrics.c
+++ b/daemon/edge_metrics.c
@@ -91,6 +91,8 @@
 		  (double)fleet_estimated_hosts(e->fleet, now));
 	put_gauge(out, "reads_registry",
 		  registry_role(e->registry) != FLEET_FOLLOWER);
+	put_gauge(out, "settings_refused", e->settings_refused);
+	put_gauge(out, "settings_faults", e->settings->nfaults);
 	put_gauge(out, "log_lines_dropped", (double)log_dropped());
 }
 
--- a/daemon/engine.c
+++ b/daemon/engine.c
@@ -389,14 +389,14 @@
 		enter_phase(e, STOP_GRACE);
 		break;
 	case STOP_GRACE:
-		if (elapsed < e->settings.stop_grace_ms * USEC_PER_MSEC)
+		if (elapsed < settings_usec(e->settings.stop_grace_ms))
 			return;
 		front_quiesce(e->front);
 		enter_phase(e, STOP_DRAIN);
 		break;
 	case STOP_DRAIN:
 		if (front_open_requests(e->front) &&
-		    elapsed < e->settings.stop_limit_ms * USEC_PER_MSEC)
+		    elapsed < settings_usec(e->settings.stop_limit_ms))
 			return;
 		step_all(e, &ev);
 		enter_phase(e, STOP_DONE);
--- a/daemon/geraniumslipd.c
+++ b/daemon/geraniumslipd.c
@@ -46,7 +46,7 @@
 	daemon_err_t err;
 	settings_t s;
 
-	err = settings_read(file, &s);
+	err = settings_read(file, NULL, &s);
 	if (err != DAEMON_OK)
 		goto out;
 	log_start(STDOUT_FILENO, s.log_level);
--- a/daemon/libdaemon.h
+++ b/daemon/libdaemon.h
@@ -61,30 +61,37 @@
 	char *peer_public_key; /* set if and only if the secret key is */
 	char *policy;
 	char *log_level;
-	char *protocol;	     /* protocol of routed requests; NULL: searches */
-	char *registry_addr; /* address of the registry; with protocol */
-	char *ready_listen;  /* listener of readiness checks; with protocol */
-	unsigned stop_grace_ms; /* time for load balancers to see "not ready" */
-	unsigned stop_limit_ms; /* longest wait for open requests */
+	char *protocol;	      /* protocol of routed requests; NULL: searches */
+	char *registry_addr;  /* address of the registry; with protocol */
+	char *ready_listen;   /* listener of readiness checks; with protocol */
+	double stop_grace_ms; /* time for load balancers to see "not ready" */
+	double stop_limit_ms; /* longest wait for open requests */
 	/* For searches; UINT32_MAX selects the default of core/. */
 	unsigned hedge_percentile; /* latency percentile after which to hedge */
 	unsigned hedge_budget_percent; /* hedges per 100 first attempts */
 	unsigned retry_budget_percent; /* retries per 100 first attempts */
 	unsigned seed; /* for random choices; 0: from name and time */
 	/* For routed requests. */
-	unsigned apply_limit_ms; /* time limit for changes to take effect */
-	unsigned fleet_hosts;	 /* hosts that share the limits below */
+	double apply_limit_ms; /* time limit for changes to take effect */
+	unsigned fleet_hosts;  /* hosts that share the limits below */
 	/* Extra sends (retries and hedges) per window, of all hosts. */
-	unsigned extra_sends_fixed;
+	double extra_sends_fixed;
 	double extra_sends_share;    /* extra sends per first send */
 	double extra_sends_window_s; /* window of both limits */
+	unsigned nfaults; /* figures in force that are not those of the file */
 } settings_t;
 
 /**
- * Reads and checks the file. Prints each fault with key and value to stderr and
- * returns DAEMON_E_SETTINGS; settings_free() is needed in that case too.
+ * Reads and checks the file. Prints each fault with key and value to stderr. A
+ * figure outside its range is replaced by the nearest one in it. One that is no
+ * number keeps its value of in_force, the settings before a reload, or if that
+ * is NULL its default. Other faults return DAEMON_E_SETTINGS; settings_free()
+ * is needed in that case too.
  */
-daemon_err_t settings_read(const char *file, settings_t *s);
+daemon_err_t settings_read(const char *file, const settings_t *in_force,
+			   settings_t *s);
+/** Converts milliseconds of the settings. */
+usec_t settings_usec(double ms);
 /** Frees the members, not s itself. */
 void settings_free(settings_t *s);
 
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -250,6 +250,7 @@
 	bool running_actions;	  /* edge_run_actions() is on the stack */
 	bool stopping;	/* not ready; connections close after their answer */
 	bool state_old; /* "state is old" was logged */
+	bool settings_refused;	 /* by the last reload */
 	usec_t log_second_start; /* start of the second that log_lines counts */
 	unsigned log_lines[EDGE_LOG_KINDS]; /* by kind */
 };
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -1,5 +1,6 @@
 /** @file settings.c Reads and checks the settings file of the daemon. */
 #include <jansson.h>
+#include <math.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -8,16 +9,19 @@
 #include "libdaemon.h"
 #include "outside.h"
 
-/* The limit must leave time for several requests to the registry. */
+/* The time must suffice for several requests to the registry. */
 #define APPLY_LIMIT_MIN_MS 200
+#define EXTRA_WINDOW_MIN_S 0.1
+#define MAX_MS 600000
 
-/* The types before TYPE_NUMBER are heap strings or lists of them. */
+/* The types before TYPE_COUNT are heap strings or lists of them, the others are
+ * figures. */
 typedef enum value_type {
 	TYPE_STRING,
 	TYPE_ADDR,
 	TYPE_ADDRS,
-	TYPE_NUMBER,
-	TYPE_REAL,
+	TYPE_COUNT, /* unsigned */
+	TYPE_REAL,  /* double */
 	TYPE_MAX
 } value_type_t;
 
@@ -26,61 +30,69 @@
 	value_type_t type;
 	size_t offset;
 	bool required;
-	unsigned max_value; /* of TYPE_NUMBER and TYPE_REAL */
+	double min; /* of a figure, in the unit of the member */
+	double max;
+	double scale; /* of a figure: from its unit to that of the member */
 } field_t;
 
 #define OFFSET(member) offsetof(settings_t, member)
 
 static const field_t fields[] = {
-	{ "name", TYPE_STRING, OFFSET(name), true, 0 },
-	{ "data_centre", TYPE_STRING, OFFSET(dc), true, 0 },
-	{ "listen", TYPE_ADDR, OFFSET(listen), true, 0 },
-	{ "admin", TYPE_ADDR, OFFSET(admin), true, 0 },
-	{ "peer", TYPE_ADDR, OFFSET(peer), true, 0 },
-	{ "peer_advertise", TYPE_ADDR, OFFSET(peer_advertise), false, 0 },
-	{ "platform", TYPE_ADDRS, OFFSET(platform), false, 0 },
-	{ "seeds", TYPE_ADDRS, OFFSET(seeds), false, 0 },
-	{ "admin_token", TYPE_STRING, OFFSET(admin_token), false, 0 },
-	{ "peer_secret_key", TYPE_STRING, OFFSET(peer_secret_key), false, 0 },
-	{ "peer_public_key", TYPE_STRING, OFFSET(peer_public_key), false, 0 },
-	{ "policy", TYPE_STRING, OFFSET(policy), false, 0 },
-	{ "log_level", TYPE_STRING, OFFSET(log_level), false, 0 },
-	{ "stop_grace_ms", TYPE_NUMBER, OFFSET(stop_grace_ms), false, 600000 },
-	{ "stop_limit_ms", TYPE_NUMBER, OFFSET(stop_limit_ms), false, 600000 },
-	{ "hedge_percentile", TYPE_NUMBER, OFFSET(hedge_percentile), false,
-	  99 },
-	{ "hedge_budget_percent", TYPE_NUMBER, OFFSET(hedge_budget_percent),
-	  false, 100 },
-	{ "retry_budget_percent", TYPE_NUMBER, OFFSET(retry_budget_percent),
-	  false, 100 },
-	{ "seed", TYPE_NUMBER, OFFSET(seed), false, UINT32_MAX },
-	{ "outside", TYPE_STRING, OFFSET(protocol), false, 0 },
-	{ "registry", TYPE_ADDR, OFFSET(registry_addr), false, 0 },
-	{ "ready", TYPE_ADDR, OFFSET(ready_listen), false, 0 },
-	{ "apply_limit_ms", TYPE_NUMBER, OFFSET(apply_limit_ms), false,
-	  600000 },
-	{ "fleet", TYPE_NUMBER, OFFSET(fleet_hosts), false, 100000 },
-	{ "extra_fixed", TYPE_NUMBER, OFFSET(extra_sends_fixed), false,
-	  1000000 },
-	{ "extra_share", TYPE_REAL, OFFSET(extra_sends_share), false, 10 },
+	{ "name", TYPE_STRING, OFFSET(name), true, 0, 0, 0 },
+	{ "data_centre", TYPE_STRING, OFFSET(dc), true, 0, 0, 0 },
+	{ "listen", TYPE_ADDR, OFFSET(listen), true, 0, 0, 0 },
+	{ "admin", TYPE_ADDR, OFFSET(admin), true, 0, 0, 0 },
+	{ "peer", TYPE_ADDR, OFFSET(peer), true, 0, 0, 0 },
+	{ "peer_advertise", TYPE_ADDR, OFFSET(peer_advertise), false, 0, 0, 0 },
+	{ "platform", TYPE_ADDRS, OFFSET(platform), false, 0, 0, 0 },
+	{ "seeds", TYPE_ADDRS, OFFSET(seeds), false, 0, 0, 0 },
+	{ "admin_token", TYPE_STRING, OFFSET(admin_token), false, 0, 0, 0 },
+	{ "peer_secret_key", TYPE_STRING, OFFSET(peer_secret_key), false, 0, 0,
+	  0 },
+	{ "peer_public_key", TYPE_STRING, OFFSET(peer_public_key), false, 0, 0,
+	  0 },
+	{ "policy", TYPE_STRING, OFFSET(policy), false, 0, 0, 0 },
+	{ "log_level", TYPE_STRING, OFFSET(log_level), false, 0, 0, 0 },
+	{ "stop_grace_ms", TYPE_REAL, OFFSET(stop_grace_ms), false, 0, MAX_MS,
+	  1 },
+	{ "stop_limit_ms", TYPE_REAL, OFFSET(stop_limit_ms), false, 0, MAX_MS,
+	  1 },
+	/* After stop_limit_ms, which it replaces. */
+	{ "stop_limit_s", TYPE_REAL, OFFSET(stop_limit_ms), false, 0, MAX_MS,
+	  1000 },
+	{ "hedge_percentile", TYPE_COUNT, OFFSET(hedge_percentile), false, 0,
+	  99, 1 },
+	{ "hedge_budget_percent", TYPE_COUNT, OFFSET(hedge_budget_percent),
+	  false, 0, 100, 1 },
+	{ "retry_budget_percent", TYPE_COUNT, OFFSET(retry_budget_percent),
+	  false, 0, 100, 1 },
+	{ "seed", TYPE_COUNT, OFFSET(seed), false, 0, UINT32_MAX, 1 },
+	{ "outside", TYPE_STRING, OFFSET(protocol), false, 0, 0, 0 },
+	{ "registry", TYPE_ADDR, OFFSET(registry_addr), false, 0, 0, 0 },
+	{ "ready", TYPE_ADDR, OFFSET(ready_listen), false, 0, 0, 0 },
+	{ "apply_limit_ms", TYPE_REAL, OFFSET(apply_limit_ms), false,
+	  APPLY_LIMIT_MIN_MS, MAX_MS, 1 },
+	{ "fleet", TYPE_COUNT, OFFSET(fleet_hosts), false, 1, 100000, 1 },
+	{ "extra_fixed", TYPE_REAL, OFFSET(extra_sends_fixed), false, 0,
+	  1000000, 1 },
+	{ "extra_share", TYPE_REAL, OFFSET(extra_sends_share), false, 0, 10,
+	  1 },
 	{ "extra_window_s", TYPE_REAL, OFFSET(extra_sends_window_s), false,
-	  3600 },
+	  EXTRA_WINDOW_MIN_S, 3600, 1 },
 };
 
 #define NFIELDS (sizeof(fields) / sizeof(fields[0]))
 
-typedef bool (*reader_t)(const field_t *f, json_t *v, void *dst);
+typedef bool (*reader_t)(json_t *v, void *dst);
 
-static bool read_string(const field_t *f, json_t *v, void *dst);
-static bool read_addr(const field_t *f, json_t *v, void *dst);
-static bool read_addrs(const field_t *f, json_t *v, void *dst);
-static bool read_number(const field_t *f, json_t *v, void *dst);
-static bool read_real(const field_t *f, json_t *v, void *dst);
+static bool read_string(json_t *v, void *dst);
+static bool read_addr(json_t *v, void *dst);
+static bool read_addrs(json_t *v, void *dst);
 
-static const reader_t readers[TYPE_MAX] = {
-	[TYPE_STRING] = read_string, [TYPE_ADDR] = read_addr,
-	[TYPE_ADDRS] = read_addrs,   [TYPE_NUMBER] = read_number,
-	[TYPE_REAL] = read_real,
+static const reader_t readers[TYPE_COUNT] = {
+	[TYPE_STRING] = read_string,
+	[TYPE_ADDR] = read_addr,
+	[TYPE_ADDRS] = read_addrs,
 };
 
 static bool is_addr(json_t *v)
@@ -92,27 +104,25 @@
 	       addr_split(str_of(json_string_value(v)), host, &port);
 }
 
-static bool read_string(const field_t *f, json_t *v, void *dst)
+static bool read_string(json_t *v, void *dst)
 {
-	(void)f;
 	if (!json_is_string(v) || json_string_length(v) == 0)
 		return false;
 	*(char **)dst = strdup(json_string_value(v));
 	return true;
 }
 
-static bool read_addr(const field_t *f, json_t *v, void *dst)
+static bool read_addr(json_t *v, void *dst)
 {
-	return is_addr(v) && read_string(f, v, dst);
+	return is_addr(v) && read_string(v, dst);
 }
 
-static bool read_addrs(const field_t *f, json_t *v, void *dst)
+static bool read_addrs(json_t *v, void *dst)
 {
 	size_t n = json_array_size(v);
 	char **list;
 	size_t i;
 
-	(void)f;
 	if (!json_is_array(v))
 		return false;
 	for (i = 0; i < n; i++)
@@ -125,38 +135,81 @@
 	return true;
 }
 
-static bool read_number(const field_t *f, json_t *v, void *dst)
+/* Prints a fault of a key, with the value if there is one, to stderr. */
+static void print_fault(const char *file, const char *key, const char *fault,
+			json_t *v)
 {
-	json_int_t n = json_integer_value(v);
+	char *text = v ? json_dumps(v, JSON_ENCODE_ANY | JSON_COMPACT) : NULL;
 
-	if (!json_is_integer(v) || n < 0 || n > f->max_value)
-		return false;
-	*(unsigned *)dst = (unsigned)n;
-	return true;
+	fprintf(stderr, "%s: /%s: %s%s%s\n", file, key, fault, text ? ": " : "",
+		text ? text : "");
+	free(text);
 }
 
-static bool read_real(const field_t *f, json_t *v, void *dst)
+static double get_figure(const field_t *f, const settings_t *s)
 {
-	double n = json_number_value(v);
+	const void *member = (const char *)s + f->offset;
 
-	if (!json_is_number(v) || !(n >= 0) || n > f->max_value)
-		return false;
-	*(double *)dst = n;
-	return true;
+	return f->type == TYPE_COUNT ? *(const unsigned *)member
+				     : *(const double *)member;
 }
 
-/* Prints a fault of a key, with the value if there is one, to stderr. */
-static void print_fault(const char *file, const char *key, const char *fault,
-			json_t *v)
+static void set_figure(const field_t *f, settings_t *s, double n)
 {
-	char *text = v ? json_dumps(v, JSON_ENCODE_ANY | JSON_COMPACT) : NULL;
+	void *member = (char *)s + f->offset;
 
-	fprintf(stderr, "%s: /%s: %s%s%s\n", file, key, fault, text ? ": " : "",
-		text ? text : "");
-	free(text);
+	if (f->type == TYPE_COUNT)
+		*(unsigned *)member = (unsigned)n;
+	else
+		*(double *)member = n;
 }
 
-static unsigned read_fields(const char *file, json_t *root, settings_t *s)
+/* A template may give a figure as text, empty if it has none. */
+static bool is_empty(json_t *v)
+{
+	return json_is_null(v) ||
+	       (json_is_string(v) && json_string_length(v) == 0);
+}
+
+/* Reads a number, or text that is one. */
+static bool parse_figure(json_t *v, double *n)
+{
+	const char *text = json_string_value(v);
+	char *end;
+
+	*n = json_number_value(v);
+	if (text)
+		*n = strtod(text, &end);
+	return text ? end != text && !*end && isfinite(*n) : json_is_number(v);
+}
+
+static unsigned read_figure(const char *file, const field_t *f, json_t *v,
+			    const settings_t *in_force, settings_t *s)
+{
+	double n, used;
+
+	if (is_empty(v))
+		return 0;
+	if (!parse_figure(v, &n) || (f->type == TYPE_COUNT && n != floor(n))) {
+		print_fault(file, f->key, "not a number, ignored", v);
+		if (in_force)
+			set_figure(f, s, get_figure(f, in_force));
+		return 1;
+	}
+	n *= f->scale;
+	used = n < f->min ? f->min : n > f->max ? f->max : n;
+	set_figure(f, s, used);
+	if (used == n)
+		return 0;
+	print_fault(file, f->key,
+		    n < f->min ? "too small, the least is used"
+			       : "too large, the most is used",
+		    v);
+	return 1;
+}
+
+static unsigned read_fields(const char *file, json_t *root,
+			    const settings_t *in_force, settings_t *s)
 {
 	unsigned faults = 0;
 	const field_t *f;
@@ -171,7 +224,9 @@
 		if (!v) {
 			print_fault(file, f->key, "missing", NULL);
 			faults++;
-		} else if (!readers[f->type](f, v, (char *)s + f->offset)) {
+		} else if (f->type >= TYPE_COUNT) {
+			s->nfaults += read_figure(file, f, v, in_force, s);
+		} else if (!readers[f->type](v, (char *)s + f->offset)) {
 			print_fault(file, f->key, "bad value", v);
 			faults++;
 		}
@@ -213,11 +268,6 @@
 			    "missing, needed with /outside", NULL);
 		faults++;
 	}
-	if (s->protocol && s->apply_limit_ms < APPLY_LIMIT_MIN_MS) {
-		fprintf(stderr, "%s: /apply_limit_ms: below %d: %u\n", file,
-			APPLY_LIMIT_MIN_MS, s->apply_limit_ms);
-		faults++;
-	}
 	if (!s->protocol && (!s->platform || !s->admin_token)) {
 		print_fault(file, s->platform ? "admin_token" : "platform",
 			    "missing", NULL);
@@ -251,7 +301,13 @@
 	return faults;
 }
 
-daemon_err_t settings_read(const char *file, settings_t *s)
+usec_t settings_usec(double ms)
+{
+	return (usec_t)(ms * (double)USEC_PER_MSEC);
+}
+
+daemon_err_t settings_read(const char *file, const settings_t *in_force,
+			   settings_t *s)
 {
 	json_error_t err;
 	unsigned faults;
@@ -278,7 +334,7 @@
 		return DAEMON_E_SETTINGS;
 	}
 	faults = check_keys(file, root);
-	faults += read_fields(file, root, s);
+	faults += read_fields(file, root, in_force, s);
 	faults += check_relations(file, s);
 	json_decref(root);
 	return faults ? DAEMON_E_SETTINGS : DAEMON_OK;
@@ -302,7 +358,7 @@
 
 		if (fields[i].type == TYPE_ADDRS)
 			free_list(*(char ***)member);
-		else if (fields[i].type < TYPE_NUMBER)
+		else if (fields[i].type < TYPE_COUNT)
 			free(*(char **)member);
 	}
 }
--- a/route/route.h
+++ b/route/route.h
@@ -220,10 +220,10 @@
 	str_t dc;
 	uint64_t seed;
 	rt_policy_t policy;
-	unsigned hosts;		  /**< number of hosts that share the limits */
-	double extra_sends_share; /**< extra sends per first send, all hosts */
-	unsigned extra_sends_fixed; /**< extra sends per window, all hosts */
-	usec_t extra_sends_window;  /**< length of the sliding budget window */
+	unsigned hosts;		   /**< number of hosts that share the limits */
+	double extra_sends_share;  /**< extra sends per first send, all hosts */
+	double extra_sends_fixed;  /**< extra sends per window, all hosts */
+	usec_t extra_sends_window; /**< length of the sliding budget window */
 	/**
 	 * Age of the state beyond which RT_OUT_NO_ROUTE isn't answered, since
 	 * changes that are due may be unknown; 0: no limit.
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -1168,9 +1168,56 @@
 	clear(&a);
 	bufferevent_free(bev);
 	CU_ASSERT_EQUAL(request_status(&r, GET("/all/x", "hup2")), 200);
+	CU_ASSERT_EQUAL(metric(r.w, r.d, "geraniumslip_settings_refused"), 1);
 	world_free(r.w);
 }
 
+/* Guards against a figure with which the daemon runs on after SIGHUP and ends
+ * at each later start. */
+static void test_odd_figures(void)
+{
+	static const struct {
+		const char *figure;
+		unsigned faults;
+	} cases[] = {
+		{ "3000.5", 0 },
+		{ "0", 0 },
+		{ "true", 1 },
+		{ "\"\"", 0 },
+	};
+	size_t i, j;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		setup_t r = setup_new();
+		char *text = NULL;
+		GString *s;
+
+		CU_ASSERT_FATAL(
+			g_file_get_contents(r.d->settings, &text, NULL, NULL));
+		s = g_string_new(text);
+		CU_ASSERT_EQUAL(g_string_replace(s, ":3000,", ":@,", 1), 1);
+		g_string_replace(s, "@", cases[i].figure, 1);
+		g_file_set_contents(r.d->settings, s->str, -1, NULL);
+		kill(r.d->pid, SIGHUP);
+		world_run_loop(r.w, 100);
+		for (j = 0; j < 2; j++) {
+			CU_ASSERT(world_wait_ready(r.w, r.d, true,
+						   READY_TIMEOUT_MS));
+			CU_ASSERT_EQUAL(request_status(&r, GET("/one/x", "f")),
+					200);
+			CU_ASSERT_EQUAL(metric(r.w, r.d,
+					       "geraniumslip_settings_faults"),
+					cases[i].faults);
+			kill(r.d->pid, SIGKILL);
+			waitpid(r.d->pid, NULL, 0);
+			world_restart(r.d);
+		}
+		g_string_free(s, TRUE);
+		g_free(text);
+		world_free(r.w);
+	}
+}
+
 /* Without servers, requests are refused at once, with Retry-After. */
 static void test_refused(void)
 {
@@ -1467,6 +1514,7 @@
 	{ "planned stop under load", test_stop_under_load },
 	{ "a suspended daemon", test_suspended },
 	{ "reload", test_reload },
+	{ "figures of the settings", test_odd_figures },
 	{ "refused without servers", test_refused },
 	{ "the log is not read", test_log_unread },
 	{ "expired leases reported by a neighbour",
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -20,5 +20,6 @@
 void unit_roles(void);
 void unit_slice(void);
 void unit_dialect(void);
+void unit_settings(void);
 
 #endif
