Budget of extra sends: a reload may change the length of its window

Callers would see: fewer second sends after failures, so more failed requests, on hosts whose extra_window_s grew at a reload.

Cause: buckets are numbered from time 0 by their length. After a reload with a longer window the newest bucket's number was one that time reaches after as much uptime again, and no bucket expired until then. A shorter window dropped all that was spent.

Change: the budget holds the length of its buckets; when it changes, what the window holds is counted as made now, which can delay an extra send but allows none more.

Evidence: the new unit test "window of the budget changes" failed before for 10 s to 20 s and passes for 5, 10 and 20 s.

--- a/route/libroute.h
+++ b/route/libroute.h
@@ -28,6 +28,7 @@
 	uint32_t first[RT_WINDOW_BUCKETS * 2]; /* first sends */
 	uint32_t extra[RT_WINDOW_BUCKETS * 2]; /* retries, hedges and probes */
 	int64_t newest; /* number of the newest bucket, counted from time 0 */
+	usec_t bucket_time; /* length of a bucket; 0: none was used yet */
 } rt_budget_t;
 
 /* A server and this host's estimate of its speed and failures. */
--- a/route/rt_budget.c
+++ b/route/rt_budget.c
@@ -30,10 +30,39 @@
 	return (size_t)(bucket % (RT_WINDOW_BUCKETS * 2));
 }
 
+/* Sums the buckets up to the one given, of which there are count. */
+static uint64_t sum_buckets(const uint32_t *v, int64_t bucket, int64_t count)
+{
+	uint64_t n = 0;
+	int64_t i;
+
+	for (i = 0; i < count; i++)
+		if (bucket - i >= 0)
+			n += v[ring_index(bucket - i)];
+	return n;
+}
+
+/* Counts the sends of the present window as made now if the length of the
+ * window has changed: buckets of another length cannot be told apart. */
+static void change_bucket_time(rt_budget_t *b, const rt_params_t *p, usec_t now)
+{
+	uint64_t first, extra;
+
+	if (b->bucket_time == bucket_time(p))
+		return;
+	first = sum_buckets(b->first, b->newest, RT_WINDOW_BUCKETS);
+	extra = sum_buckets(b->extra, b->newest, RT_WINDOW_BUCKETS + 1);
+	*b = (rt_budget_t){ .newest = now / bucket_time(p),
+			    .bucket_time = bucket_time(p) };
+	b->first[ring_index(b->newest)] = (uint32_t)first;
+	b->extra[ring_index(b->newest)] = (uint32_t)extra;
+}
+
 static void advance_window(rt_budget_t *b, const rt_params_t *p, usec_t now)
 {
 	int64_t bucket = now / bucket_time(p);
 
+	change_bucket_time(b, p, now);
 	if (bucket - b->newest >= RT_WINDOW_BUCKETS * 2) {
 		memset(b->first, 0, sizeof(b->first));
 		memset(b->extra, 0, sizeof(b->extra));
@@ -46,18 +75,6 @@
 	}
 }
 
-/* Sums the buckets up to the one given, of which there are count. */
-static uint64_t sum_buckets(const uint32_t *v, int64_t bucket, int64_t count)
-{
-	uint64_t n = 0;
-	int64_t i;
-
-	for (i = 0; i < count; i++)
-		if (bucket - i >= 0)
-			n += v[ring_index(bucket - i)];
-	return n;
-}
-
 /* Extra sends of the window that ends now. The oldest bucket is counted as a
  * whole, though only a part of it may be in the window. */
 static uint64_t extra_sends(const rt_budget_t *b)
--- a/tests/unit_load.c
+++ b/tests/unit_load.c
@@ -544,6 +544,55 @@
 	rig_free(r);
 }
 
+/* Guards against a budget that is never free again, or is spent twice: at full
+ * load with lost answers the window of the budget changes at a reload. */
+static void test_budget_window_changes(void)
+{
+	enum { SECONDS = 80, PER_S = 20, CHANGE_S = 20, OLD_S = 10 };
+	static const unsigned windows_s[] = { 5, 10, 20 };
+	size_t i, j, k, n, s, extra[SECONDS], sum;
+	rt_params_t p;
+
+	for (k = 0; k < sizeof(windows_s) / sizeof(windows_s[0]); k++) {
+		rig_t *r = rig_new(1, 3);
+		rng_t rng = { 3 };
+
+		rt_params_init(&p);
+		p.hosts = 1;
+		p.extra_sends_share = 0.2;
+		p.extra_sends_fixed = 60;
+		p.extra_sends_window = windows_s[k] * USEC_PER_SEC;
+		for (s = 0; s < SECONDS; s++) {
+			if (s == CHANGE_S)
+				rt_set_params(r->rt, &p);
+			extra[s] = 0;
+			for (i = 0; i < PER_S; i++) {
+				n = r->nsent;
+				rig_request(r, "/one/x", r);
+				for (j = n; j < r->nsent; j++)
+					rig_end_send(r, j,
+						     rng_below(&rng, 2)
+							     ? RT_LOST
+							     : RT_ANSWERED,
+						     "x");
+				extra[s] += r->nsent - n - 1;
+				rig_advance(r, USEC_PER_SEC / PER_S);
+			}
+		}
+		for (s = CHANGE_S - OLD_S; s + windows_s[k] <= SECONDS; s++) {
+			for (i = s, sum = 0; i < s + windows_s[k]; i++)
+				sum += extra[i];
+			CU_ASSERT((double)sum <=
+				  0.2 * PER_S * windows_s[k] + 60);
+		}
+		for (s = SECONDS - windows_s[k], sum = 0; s < SECONDS; s++)
+			sum += extra[s];
+		/* The fixed part is free again, beside the share. */
+		CU_ASSERT((double)sum > 0.2 * PER_S * windows_s[k]);
+		rig_free(r);
+	}
+}
+
 /* A full server refuses a request and asks for a pause while requests go on: it
  * gets no first sends, hedges, retries or probes until the pause is over. */
 static void test_server_pause(void)
@@ -844,6 +893,7 @@
 		{ "overload for seconds", test_sustained_overload },
 		{ "overload of some shards", test_partial_overload },
 		{ "budget of all hosts", test_budget },
+		{ "window of the budget changes", test_budget_window_changes },
 		{ "budget while connections are refused",
 		  test_budget_not_sent },
 		{ "budget of any span of time", test_budget_any_span },
