Routes: weights may have a fraction

Callers would see: a whole configuration that is never in force if one route is split by weights such as 0.9 and 0.1, and a service without requests with 1.5 and 0.5.

Change: a weight is a real number in the model, the own format and the rotation. The random start of the rotation covers at least 100 choices: a sum of 1 left just one.

--- a/conf/routes.h
+++ b/conf/routes.h
@@ -17,8 +17,8 @@
 typedef struct rt_target {
 	size_t service_index; /**< index in rt_conf_t.services */
 	/** Share of the requests, relative to the sum of the route's weights;
-	 * only for RT_ONE_SERVICE. */
-	unsigned weight;
+	 * at least 0; only for RT_ONE_SERVICE. */
+	double weight;
 } rt_target_t;
 
 /** How a route uses its targets. */
--- a/conf/routes_parse.c
+++ b/conf/routes_parse.c
@@ -67,7 +67,7 @@
 }
 
 static void set_target(conf_cursor_t *cu, const rt_conf_t *c, rt_target_t *t,
-		       const char *key, str_t name, unsigned weight)
+		       const char *key, str_t name, double weight)
 {
 	t->service_index = rt_conf_service_index(c, name);
 	t->weight = weight;
@@ -105,11 +105,11 @@
 	r->targets =
 		arena_alloc(cu->mem, json_object_size(o) * sizeof(*r->targets));
 	json_object_foreach(o, key, v) {
-		if (!json_is_integer(v) || json_integer_value(v) < 0 ||
-		    json_integer_value(v) > MAX_WEIGHT)
+		if (!json_is_number(v) || json_number_value(v) < 0 ||
+		    json_number_value(v) > MAX_WEIGHT)
 			cur_add_fault(cu, CONF_E_RANGE, "split", key);
 		set_target(cu, c, &r->targets[r->ntargets++], "split",
-			   str_of(key), (unsigned)json_integer_value(v));
+			   str_of(key), json_number_value(v));
 	}
 }
 
--- a/conf/routes_print.c
+++ b/conf/routes_print.c
@@ -15,6 +15,13 @@
 		(json_int_t)(l->idle_timeout / USEC_PER_MSEC));
 }
 
+static json_t *weight_json(double weight)
+{
+	if (weight == (double)(json_int_t)weight)
+		return json_integer((json_int_t)weight);
+	return json_real(weight);
+}
+
 static void set_targets(json_t *o, const rt_conf_t *c, const rt_route_t *r)
 {
 	json_t *to = r->mode == RT_SHARDS ? json_array() : json_object();
@@ -27,9 +34,8 @@
 		if (r->mode == RT_SHARDS)
 			json_array_append_new(to, jstr(s->name));
 		else
-			json_object_setn_new(
-				to, s->name.s, s->name.sz,
-				json_integer(r->targets[i].weight));
+			json_object_setn_new(to, s->name.s, s->name.sz,
+					     weight_json(r->targets[i].weight));
 	}
 	json_object_set_new(o, r->mode == RT_SHARDS ? "shards" : "split", to);
 }
--- a/ctl/ctl_routes.c
+++ b/ctl/ctl_routes.c
@@ -108,7 +108,7 @@
 		    b->mode == RT_ONE_SERVICE &&
 		    t->weight != a->targets[i].weight)
 			ctl_diff_add(d, t->weight == 0,
-				     "%.*s: weight of %.*s %u becomes %u",
+				     "%.*s: weight of %.*s %g becomes %g",
 				     STR_ARG(a->name),
 				     STR_ARG(target_service(old, a, i)),
 				     a->targets[i].weight, t->weight);
@@ -259,7 +259,7 @@
 		if (r->mode == RT_SHARDS)
 			printf("  %.*s\n", STR_ARG(target_service(c, r, i)));
 		else
-			printf("  %.*s, weight %u\n",
+			printf("  %.*s, weight %g\n",
 			       STR_ARG(target_service(c, r, i)),
 			       r->targets[i].weight);
 }
--- a/route/libroute.h
+++ b/route/libroute.h
@@ -93,7 +93,8 @@
 	rt_conf_t *conf;
 	rt_svc_t **svcs;   /* in the order of conf->services */
 	rt_stat_t **stats; /* in the order of conf->routes */
-	int **credit; /* per route: credit of each weighted target, or NULL */
+	double **
+		credit; /* per route: credit of each weighted target, or NULL */
 	unsigned refs;
 } rt_view_t;
 
--- a/route/rt_view.c
+++ b/route/rt_view.c
@@ -3,7 +3,10 @@
 
 #include "libroute.h"
 
-#define START_OFFSET_MAX 1000 /* limit of the random start, in choices */
+/* Range of the random start, in choices. Weights below 1 have a small sum and
+ * may still take many choices for one turn. */
+#define START_OFFSET_MIN 100
+#define START_OFFSET_MAX 1000
 
 rt_svc_t *rt_svc_get(rt_t *rt, str_t name)
 {
@@ -39,15 +42,18 @@
  */
 static void randomize_start(rt_t *rt, rt_view_t *v, const rt_route_t *r)
 {
-	uint64_t sum = 0, i;
+	double sum = 0;
+	uint64_t i;
 
 	v->credit[r - v->conf->routes] =
 		xcalloc(r->ntargets, sizeof(**v->credit));
 	for (i = 0; i < r->ntargets; i++)
 		sum += r->targets[i].weight;
+	if (sum < START_OFFSET_MIN)
+		sum = START_OFFSET_MIN;
 	if (sum > START_OFFSET_MAX)
 		sum = START_OFFSET_MAX;
-	for (i = rng_below(&rt->rng, sum); i > 0; i--)
+	for (i = rng_below(&rt->rng, (uint64_t)sum); i > 0; i--)
 		rt_view_next_target(v, r);
 }
 
@@ -93,15 +99,15 @@
  * with the most credit is chosen and loses the sum of all weights. */
 size_t rt_view_next_target(rt_view_t *v, const rt_route_t *r)
 {
-	int *credit = v->credit[r - v->conf->routes];
+	double *credit = v->credit[r - v->conf->routes];
 	size_t best = 0, i;
-	int sum = 0;
+	double sum = 0;
 
 	if (!credit)
 		return 0;
 	for (i = 0; i < r->ntargets; i++) {
-		credit[i] += (int)r->targets[i].weight;
-		sum += (int)r->targets[i].weight;
+		credit[i] += r->targets[i].weight;
+		sum += r->targets[i].weight;
 		if (credit[i] > credit[best])
 			best = i;
 	}
--- a/tests/unit_conf.c
+++ b/tests/unit_conf.c
@@ -192,6 +192,10 @@
 	} cases[] = {
 		{ ROUTE_DOC("\"prefix\":\"/\",\"service\":\"a\""), CONF_E_OK,
 		  "" },
+		{ ROUTE_DOC("\"prefix\":\"/\",\"split\":{\"a\":0.9,\"b\":0.1}"),
+		  CONF_E_OK, "" },
+		{ ROUTE_DOC("\"prefix\":\"/\",\"split\":{\"a\":true}"),
+		  CONF_E_RANGE, "/routes/r/split" },
 		{ ROUTE_DOC("\"prefix\":\"/\",\"split\":{\"a\":3,\"b\":1}"),
 		  CONF_E_OK, "" },
 		{ ROUTE_DOC("\"prefix\":\"/\",\"idempotent\":true,\"top\":5,"
--- a/tests/unit_outside.c
+++ b/tests/unit_outside.c
@@ -384,6 +384,12 @@
 		{ ROUTE("\"backends\":[{\"service\":\"a\",\"weight\":30},"
 			"{\"service\":\"b\",\"weight\":70}]"),
 		  true, RT_ONE_SERVICE, 2 },
+		{ ROUTE("\"backends\":[{\"service\":\"a\",\"weight\":0.9},"
+			"{\"service\":\"b\",\"weight\":0.1}]"),
+		  true, RT_ONE_SERVICE, 2 },
+		{ ROUTE("\"backends\":[{\"service\":\"a\",\"weight\":0},"
+			"{\"service\":\"b\",\"weight\":0}]"),
+		  false, 0, 0 },
 		{ ROUTE("\"service\":\"nowhere\""), false, 0, 0 },
 		{ ROUTE("\"gather\":[\"a\",7],\"topK\":5"), false, 0, 0 },
 		{ ROUTE("\"maxAttempts\":2"), false, 0, 0 },
