Answers: memory is counted, and a sound answer outlives endless ones

Callers saw: 502 for a request that ran, whose answer of 3 MB was given up while other servers sent bodies without end. Other operators' report: a faulty server's bytes without end, in a head or a body, end the machine that called it.

Cause: with all answers together at their limit the largest was given up, which a sound one is among many that are cut early.

Change: memory is counted, with waiting parts. An answer whose end is not in sight is given up first, then the largest. Large buffers are given back between messages.

--- a/daemon/edge_http.c
+++ b/daemon/edge_http.c
@@ -5,6 +5,7 @@
 
 /* Set as http_parser's own limit. */
 #define MAX_HEADER_BYTES ((uint32_t)1 << 20)
+#define KEPT_BYTES ((size_t)64 << 10) /* of each buffer between messages */
 
 static int on_start_text(http_parser *p, const char *at, size_t n);
 static int on_header_name(http_parser *p, const char *at, size_t n);
@@ -17,6 +18,12 @@
 	http_header_t *line;
 } named_line_t;
 
+size_t http_msg_memory(const http_msg_t *m)
+{
+	return m->text->allocated_len + m->body->allocated_len +
+	       m->headers->len * sizeof(http_header_t);
+}
+
 static str_t text_at(const http_msg_t *m, size_t at, size_t sz)
 {
 	return (str_t){ m->text->str + at, sz };
@@ -166,17 +173,38 @@
 	http_msg_reset(m, type);
 }
 
+static GString *empty_text(GString *text)
+{
+	if (text->allocated_len <= KEPT_BYTES)
+		return g_string_truncate(text, 0);
+	g_string_free(text, TRUE);
+	return g_string_new(NULL);
+}
+
+/* Keeps the memory for an ordinary message: a connection may stay open long
+ * after a large one. */
+static void empty_buffers(http_msg_t *m)
+{
+	m->text = empty_text(m->text);
+	m->body = empty_text(m->body);
+	if (m->headers->len * sizeof(http_header_t) <= KEPT_BYTES) {
+		g_array_set_size(m->headers, 0);
+		return;
+	}
+	g_array_free(m->headers, TRUE);
+	m->headers = g_array_new(FALSE, FALSE, sizeof(http_header_t));
+}
+
 void http_msg_reset(http_msg_t *m, enum http_parser_type type)
 {
 	http_parser_set_max_header_size(MAX_HEADER_BYTES);
 	http_parser_init(&m->parser, type);
 	m->parser.data = m;
-	g_string_truncate(m->text, 0);
-	g_string_truncate(m->body, 0);
-	g_array_set_size(m->headers, 0);
+	empty_buffers(m);
 	m->start_text_sz = 0;
 	m->started = false;
 	m->headers_done = false;
+	m->has_length = false;
 	m->done = false;
 	m->keep_alive = false;
 	m->no_body = false;
@@ -257,6 +285,8 @@
 	http_msg_t *m = p->data;
 
 	m->headers_done = true;
+	m->has_length = m->no_body || (p->content_length != UINT64_MAX &&
+				       !(p->flags & F_CHUNKED));
 	if (p->content_length != UINT64_MAX &&
 	    p->content_length > m->body_limit && !m->no_body)
 		return set_fault(m, HTTP_FAULT_BODY_SIZE);
--- a/daemon/edge_link.c
+++ b/daemon/edge_link.c
@@ -33,8 +33,8 @@
 /* Limits link_t::ids. */
 #define MAX_LINK_REQUESTS 1000
 #define IDLE_CHECK_PERIOD (250 * USEC_PER_MSEC)
-/* Limit of all answers together that are being received; the smallest hosts
- * have 160 MB. */
+/* Limit of all answers together that are being received or wait for other
+ * parts; the smallest hosts have 160 MB. */
 #define MAX_RECEIVED_BYTES ((size_t)32 << 20)
 
 /** State of a connection. */
@@ -441,6 +441,9 @@
 	r->head.s = r->mem;
 	r->stamp.s = r->head.s + r->head.sz;
 	r->body = str_dup((str_t){ m->body->str, m->body->len });
+	r->held = &k->links->e->replies_held;
+	r->held_sz = sizeof(*r) + r->head.sz + r->stamp.sz + r->body.sz;
+	*r->held += r->held_sz;
 	return r;
 }
 
@@ -507,6 +510,7 @@
 		reply = make_reply(k);
 	if (keep) {
 		/* Make it idle first: end_attempt() may send a new request. */
+		http_msg_reset(&k->msg, HTTP_RESPONSE);
 		set_idle(k);
 		end_attempt(k, r, reply);
 	} else {
@@ -515,9 +519,19 @@
 	}
 }
 
-static link_t *largest_answer(const links_t *l)
+/* Whether a is to be given up before b: an answer whose end is not in sight,
+ * and the larger of two that are alike in this. */
+static bool is_worse(const link_t *a, const link_t *b)
+{
+	if (a->msg.has_length != b->msg.has_length)
+		return b->msg.has_length;
+	return a->received > b->received;
+}
+
+/* Returns the incomplete answer that is to be given up first. */
+static link_t *worst_answer(const links_t *l)
 {
-	link_t *largest = NULL;
+	link_t *worst = NULL;
 	GHashTableIter it;
 	gpointer v;
 
@@ -525,25 +539,25 @@
 	while (g_hash_table_iter_next(&it, &v, NULL)) {
 		link_t *k = v;
 
-		if (!largest || k->received > largest->received)
-			largest = k;
+		if (k->received && (!worst || is_worse(k, worst)))
+			worst = k;
 	}
-	return largest;
+	return worst;
 }
 
-/* Counts the bytes of an incomplete answer. If all answers together are too
- * large, gives up the largest, which may be this one. */
+/* Counts the memory of an incomplete answer. If all answers together are too
+ * large, gives up one, which may be this one. */
 static void count_received(link_t *k)
 {
 	links_t *l = k->links;
-	link_t *largest;
+	link_t *worst;
 
-	set_received(k, k->msg.text->len + k->msg.body->len);
-	if (l->received <= MAX_RECEIVED_BYTES)
+	set_received(k, http_msg_memory(&k->msg));
+	if (l->received + l->e->replies_held <= MAX_RECEIVED_BYTES)
 		return;
-	largest = largest_answer(l);
-	log_stray_answer(largest, "too large beside others");
-	fail_link(largest, RT_LOST);
+	worst = worst_answer(l);
+	log_stray_answer(worst, "too large beside others");
+	fail_link(worst, RT_LOST);
 }
 
 static void read_answer(link_t *k)
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -59,6 +59,7 @@
 	size_t body_limit;    /**< bytes; beyond it: HTTP_FAULT_BODY_SIZE */
 	bool started;	      /**< at least one byte was received */
 	bool headers_done;    /**< the blank line after the headers was read */
+	bool has_length;      /**< and the headers tell where the body ends */
 	bool done;	      /**< the message is complete */
 	bool keep_alive;      /**< the sender allows the connection's reuse */
 	bool no_body;	      /**< response to HEAD: Content-Length, no body */
@@ -86,6 +87,8 @@
  * the message is complete, as a response without a length then is.
  */
 bool http_msg_eof(http_msg_t *m);
+/** Bytes that are allocated for what was received of the message. */
+size_t http_msg_memory(const http_msg_t *m);
 /** Value of the first header line with that name; empty if there is none. */
 str_t http_msg_get(const http_msg_t *m, const char *name);
 /** Whether the message has a header line with that name. */
@@ -250,7 +253,8 @@
 	bool running_actions;	  /* edge_run_actions() is on the stack */
 	bool stopping;	/* not ready; connections close after their answer */
 	bool state_old; /* "state is old" was logged */
-	bool settings_refused;	 /* by the last reload */
+	bool settings_refused; /* by the last reload */
+	size_t replies_held;   /* bytes of answers that wait for other parts */
 	usec_t log_second_start; /* start of the second that log_lines counts */
 	unsigned log_lines[EDGE_LOG_KINDS]; /* by kind */
 };
--- a/route/route.h
+++ b/route/route.h
@@ -46,6 +46,9 @@
 	str_t head;  /**< header lines for the caller, end with CRLF */
 	str_t body;  /**< owned */
 	void *mem;   /**< memory of stamp and head, owned; from malloc() */
+	/** If not NULL, reduced by held_sz when the reply is freed. */
+	size_t *held;
+	size_t held_sz; /**< bytes */
 } rt_reply_t;
 
 /** Adds a reference; r must not be NULL. */
--- a/route/rt_act.c
+++ b/route/rt_act.c
@@ -142,6 +142,8 @@
 {
 	if (!r || --r->refs)
 		return;
+	if (r->held)
+		*r->held -= r->held_sz;
 	str_free(r->body);
 	free(r->mem);
 	free(r);
--- a/standin/libworld.h
+++ b/standin/libworld.h
@@ -16,6 +16,7 @@
 	bool silent;	     /**< no request is answered any more */
 	bool answering;	     /**< a request was received, no answer sent yet */
 	bool answered_early; /**< before its body was read */
+	server_fault_t endless; /**< what is written without end */
 	char *copy; /**< written once more before the next request is handled */
 	void (*on_request)(struct world_conn *c);
 	void (*on_closed)(struct world_conn *c); /**< NULL: not called */
@@ -33,6 +34,12 @@
 void world_conn_read_next(world_conn_t *c);
 /** Calls fn with the connection after a time, unless it is freed before. */
 void world_conn_set_timer(world_conn_t *c, unsigned ms, event_callback_fn fn);
+/**
+ * Writes an answer that never ends, with the id of the request. Returns false
+ * if the fault is none of the endless ones.
+ */
+bool world_conn_write_endless(world_conn_t *c, server_fault_t f,
+			      const char *id);
 /** Begins an answer with a header line without end, a byte each 10 ms. */
 void world_conn_trickle(world_conn_t *c);
 /** Closes a connection, with a TCP reset if reset is set, and frees it. */
--- a/standin/world.c
+++ b/standin/world.c
@@ -269,6 +269,8 @@
 	c->silent |= w->store_silent;
 	if (c->silent)
 		return;
+	if (world_conn_write_endless(c, w->store_endless, ""))
+		return;
 	if (w->store_trickles) {
 		world_conn_trickle(c);
 		return;
--- a/standin/world.h
+++ b/standin/world.h
@@ -36,11 +36,16 @@
 	/** Status 421: the request is for another server. */
 	FAULT_WRONG_SERVER,
 	FAULT_CUT_HEAD, /**< closes the connection within the answer's head */
-	/** A header line, or a body without length, or bytes that are no
-	 * answer: without end, as fast as the caller reads. */
+	/** A header line, header lines, interim answers, a body without length,
+	 * one in chunks, or bytes that are no answer: without end, as fast as
+	 * the caller reads. */
 	FAULT_ENDLESS_HEAD,
+	FAULT_ENDLESS_LINES,
+	FAULT_ENDLESS_INTERIM,
 	FAULT_ENDLESS_BODY,
+	FAULT_ENDLESS_CHUNKS,
 	FAULT_ENDLESS_JUNK,
+	FAULT_LARGE, /**< a whole answer with a body of over 2 MB */
 	/** Answers before it reads the body, and reads that 100 ms later. */
 	FAULT_EARLY_ANSWER,
 	/** 131,000 header lines where the blank line after the head is due. */
@@ -155,6 +160,9 @@
 	bool store_silent;
 	/** The store answers each request with a head line without end. */
 	bool store_trickles;
+	/** The store answers each request with this fault, of the endless ones;
+	 * FAULT_NONE: it does not. */
+	server_fault_t store_endless;
 	bool store_copies;	 /**< the store writes each answer twice */
 	unsigned store_delay_ms; /**< time until the store handles a request */
 	unsigned
--- a/standin/world_server.c
+++ b/standin/world_server.c
@@ -11,6 +11,8 @@
 #define SECOND_ANSWER_DELAY_MS 60
 #define TRICKLE_MS 10
 #define MANY_LINES 131000
+#define ENDLESS_BYTES 16384		     /* written at a time */
+#define LARGE_BYTES ((size_t)2 << 20)	     /* at least, of a large answer */
 #define MAX_REQUEST_BYTES ((size_t)32 << 20) /* of a body */
 #define EARLY_ANSWER_MS 100		     /* from the answer to reading on */
 #define EARLY_READ_RATE ((size_t)256 << 10)  /* bytes in 10 ms */
@@ -233,11 +235,30 @@
 /* Writes more bytes of an answer without end, until the caller closes. */
 static void write_more(struct bufferevent *bev, void *arg)
 {
-	static char bytes[16384];
+	struct evbuffer *out = bufferevent_get_output(bev);
+	static char bytes[ENDLESS_BYTES];
+	const world_conn_t *c = arg;
+	size_t i;
 
-	(void)arg;
 	memset(bytes, 'a', sizeof(bytes));
-	evbuffer_add(bufferevent_get_output(bev), bytes, sizeof(bytes));
+	switch (c->endless) {
+	case FAULT_ENDLESS_LINES:
+		for (i = 0; i < ENDLESS_BYTES / 4; i++)
+			evbuffer_add(out, "a:\r\n", 4);
+		break;
+	case FAULT_ENDLESS_INTERIM:
+		for (i = 0; i < ENDLESS_BYTES / 32; i++)
+			evbuffer_add_printf(out, "HTTP/1.1 100 Go on\r\n\r\n");
+		break;
+	case FAULT_ENDLESS_CHUNKS:
+		evbuffer_add_printf(out, "%x\r\n", ENDLESS_BYTES);
+		evbuffer_add(out, bytes, sizeof(bytes));
+		evbuffer_add(out, "\r\n", 2);
+		break;
+	default:
+		evbuffer_add(out, bytes, sizeof(bytes));
+		break;
+	}
 }
 
 static void on_trickle(evutil_socket_t fd, short what, void *arg)
@@ -257,8 +278,19 @@
 	world_conn_set_timer(c, TRICKLE_MS, on_trickle);
 }
 
-/* Writes the start of an answer without end; false for other faults. */
-static bool write_endless(world_conn_t *c, server_fault_t f, const char *id)
+/* Appends the head of an answer, up to its last lines. */
+static void append_head(struct evbuffer *out, const world_conn_t *c,
+			const char *id)
+{
+	evbuffer_add_printf(out, "HTTP/1.1 200 X\r\n");
+	if (c->server)
+		evbuffer_add_printf(out, "%s: %s\r\n%s: %s.%s\r\n",
+				    header(c->server, OUTSIDE_REQUEST_ID), id,
+				    header(c->server, OUTSIDE_SERVER_STAMP),
+				    c->server->id, id);
+}
+
+bool world_conn_write_endless(world_conn_t *c, server_fault_t f, const char *id)
 {
 	struct evbuffer *out = bufferevent_get_output(c->bev);
 
@@ -269,13 +301,19 @@
 	case FAULT_ENDLESS_HEAD:
 		evbuffer_add_printf(out, "HTTP/1.1 200 X\r\nJunk: ");
 		break;
+	case FAULT_ENDLESS_LINES:
+		append_head(out, c, id);
+		break;
+	case FAULT_ENDLESS_INTERIM:
+		evbuffer_add_printf(out, "HTTP/1.1 100 Go on\r\n\r\n");
+		break;
 	case FAULT_ENDLESS_BODY:
-		evbuffer_add_printf(out,
-				    "HTTP/1.1 200 X\r\n%s: %s\r\n"
-				    "%s: %s.%s\r\n\r\n",
-				    header(c->server, OUTSIDE_REQUEST_ID), id,
-				    header(c->server, OUTSIDE_SERVER_STAMP),
-				    c->server->id, id);
+		append_head(out, c, id);
+		evbuffer_add_printf(out, "\r\n");
+		break;
+	case FAULT_ENDLESS_CHUNKS:
+		append_head(out, c, id);
+		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n\r\n");
 		break;
 	case FAULT_ENDLESS_JUNK:
 		evbuffer_add_printf(out, "junk");
@@ -283,10 +321,26 @@
 	default:
 		return false;
 	}
+	c->endless = f;
 	bufferevent_setcb(c->bev, on_read, write_more, on_event, c);
 	return true;
 }
 
+/* Appends an answer with a body of LARGE_BYTES and its length. */
+static void append_large(GString *out, const world_server_t *s, const char *id)
+{
+	GString *body = g_string_sized_new(LARGE_BYTES);
+
+	append_records(body, s);
+	while (body->len < LARGE_BYTES)
+		g_string_append_len(body, body->str, (gssize)body->len);
+	append_answer(out, s, id, 200, false);
+	g_string_truncate(out, strstr(out->str, "\r\n\r\n") + 2 - out->str);
+	g_string_append_printf(out, "Content-Length: %zu\r\n\r\n", body->len);
+	g_string_append_len(out, body->str, (gssize)body->len);
+	g_string_free(body, TRUE);
+}
+
 static void append_many_lines(GString *out, const world_server_t *s,
 			      const char *id)
 {
@@ -334,6 +388,9 @@
 				       header(c->server, OUTSIDE_REQUEST_ID),
 				       id);
 		break;
+	case FAULT_LARGE:
+		append_large(out, c->server, id);
+		break;
 	case FAULT_MANY_LINES:
 		append_many_lines(out, c->server, id);
 		break;
@@ -379,7 +436,7 @@
 	if (f != FAULT_NOT_RUN && f != FAULT_COPIED_NOT_RUN &&
 	    f != FAULT_WRONG_SERVER)
 		count_run(c, id);
-	if (f == FAULT_NO_ANSWER || write_endless(c, f, id))
+	if (f == FAULT_NO_ANSWER || world_conn_write_endless(c, f, id))
 		goto out;
 	if (f == FAULT_RESET) {
 		world_conn_free(c, true);
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -348,6 +348,19 @@
 	}
 }
 
+/* Publishes a configuration that allows requests of 16 MB. */
+static void publish_large_limits(setup_t *r)
+{
+	char **conf = g_strsplit(CONF_HEAD CONF_ALL CONF_ONE CONF_TAIL,
+				 "\"maxBodyBytes\":1000", 2);
+	char *limits = g_strjoinv("\"maxBodyBytes\":16000000", conf);
+
+	publish_conf(r->w, limits, 4);
+	world_run_loop(r->w, 500);
+	g_strfreev(conf);
+	g_free(limits);
+}
+
 /* A server answers before it has read a long body, keeps the connection and
  * reads on slowly: it gets the rest of that body, and then the next requests.
  */
@@ -357,16 +370,12 @@
 	/* Time until the next request; the body is read within 600 ms. */
 	static const unsigned waits_ms[] = { 150, 250, 350, 400, 450 };
 	setup_t r = setup_new();
-	char **conf = g_strsplit(CONF_HEAD CONF_ALL CONF_ONE CONF_TAIL,
-				 "\"maxBodyBytes\":1000", 2);
-	char *limits = g_strjoinv("\"maxBodyBytes\":16000000", conf);
 	GString *bytes = g_string_new(NULL);
 	struct bufferevent *bev;
 	world_answer_t a;
 	size_t i, j;
 
-	publish_conf(r.w, limits, 4);
-	world_run_loop(r.w, 500);
+	publish_large_limits(&r);
 	g_string_printf(bytes,
 			"POST /one/x HTTP/1.1\r\nHost: h\r\nRequest-Id: e\r\n"
 			"Deadline-Ms: 3000\r\nContent-Length: %d\r\n\r\n",
@@ -392,8 +401,6 @@
 	CU_ASSERT_EQUAL(r.a[0]->invalid_requests, 0);
 	CU_ASSERT_EQUAL(r.a[1]->invalid_requests, 0);
 	g_string_free(bytes, TRUE);
-	g_strfreev(conf);
-	g_free(limits);
 	world_free(r.w);
 }
 
@@ -453,43 +460,160 @@
 	return kb;
 }
 
-/* All servers send bodies without end to many requests at once. The daemon's
- * memory stays within that of a small host, and later requests are served. */
+/* The daemon's peak memory fits into that of a small host. */
+static void check_memory(const setup_t *r, const char *what, size_t i)
+{
+	unsigned long kb = peak_memory_kb(r->d->pid);
+
+	if (kb == 0 || kb > HOST_MEMORY_KB)
+		printf("\n  %s, case %zu: peak memory %lu kB\n", what, i, kb);
+	CU_ASSERT(kb > 0 && kb <= HOST_MEMORY_KB);
+}
+
+/* Requests are served again, after servers have been avoided for a while. */
+static void wait_served(setup_t *r)
+{
+	unsigned ms;
+
+	for (ms = 0; ms < READY_TIMEOUT_MS; ms += 200) {
+		if (request_status(r, GET("/all/x", "after")) == 200)
+			return;
+		world_run_loop(r->w, 200);
+	}
+	CU_FAIL("requests are not served again");
+}
+
+/* All servers send bytes without end, or large answers, to many requests at
+ * once. The daemon's memory stays within that of a small host, and later
+ * requests are served. */
 static void test_endless_answers(void)
 {
-	enum { SERVERS = 20, CALLERS = 80 };
+	enum { SERVERS = 20, CALLERS = 80, LOAD_MS = 1500 };
+	static const server_fault_t faults[] = {
+		FAULT_ENDLESS_BODY,    FAULT_ENDLESS_HEAD,
+		FAULT_ENDLESS_LINES,   FAULT_ENDLESS_CHUNKS,
+		FAULT_ENDLESS_INTERIM, FAULT_ENDLESS_JUNK,
+		FAULT_LARGE,
+	};
+	struct bufferevent *callers[CALLERS];
+	size_t i, j;
+
+	for (j = 0; j < sizeof(faults) / sizeof(faults[0]); j++) {
+		setup_t r = setup_new();
+
+		for (i = 3; i < SERVERS; i++)
+			world_start_server(r.w, i % 2 ? "a" : "b", "x");
+		world_run_loop(r.w, 1200);
+		for (i = 0; i < SERVERS; i++) {
+			world_server_t *s = r.w->servers->pdata[i];
+
+			s->fault = faults[j];
+			s->faulty_requests = UINT_MAX;
+		}
+		for (i = 0; i < CALLERS; i++) {
+			callers[i] = world_connect(r.w, r.d->listen);
+			world_write(r.w, callers[i], GET("/all/x", "endless"));
+		}
+		world_run_loop(r.w, LOAD_MS);
+		for (i = 0; i < SERVERS; i++)
+			((world_server_t *)r.w->servers->pdata[i])
+				->faulty_requests = 0;
+		for (i = 0; i < CALLERS; i++)
+			bufferevent_free(callers[i]);
+		check_memory(&r, "answers", j);
+		wait_served(&r);
+		world_free(r.w);
+	}
+}
+
+/* Guards against a sound answer that is given up in place of endless ones: all
+ * answers together reach the limit while a large one is being received. */
+static void test_sound_among_endless(void)
+{
+	enum { SERVERS = 20, CALLERS = 40, ROUNDS = 15, ENDLESS_MS = 150 };
 	struct bufferevent *callers[CALLERS];
 	setup_t r = setup_new();
-	unsigned long kb;
-	size_t i;
+	char bytes[128];
+	size_t i, j;
 
 	for (i = 3; i < SERVERS; i++)
-		world_start_server(r.w, i % 2 ? "a" : "b", "x");
-	world_run_loop(r.w, 1500);
-	for (i = 0; i < SERVERS; i++) {
-		world_server_t *s = r.w->servers->pdata[i];
+		world_start_server(r.w, "b", "x");
+	world_run_loop(r.w, 1200);
+	for (j = 0; j < ROUNDS; j++) {
+		for (i = 0; i < SERVERS; i++) {
+			world_server_t *s = r.w->servers->pdata[i];
 
-		s->fault = FAULT_ENDLESS_BODY;
-		s->faulty_requests = UINT_MAX;
-	}
-	for (i = 0; i < CALLERS; i++) {
-		callers[i] = world_connect(r.w, r.d->listen);
-		world_write(r.w, callers[i], GET("/all/x", "endless"));
+			s->fault = s->service[0] == 'a' ? FAULT_NONE
+							: FAULT_ENDLESS_BODY;
+			s->faulty_requests = UINT_MAX;
+		}
+		for (i = 0; i < CALLERS; i++) {
+			callers[i] = world_connect(r.w, r.d->listen);
+			world_write(r.w, callers[i], GET("/all/x", "endless"));
+		}
+		world_run_loop(r.w, ENDLESS_MS);
+		r.a[0]->fault = r.a[1]->fault = FAULT_LARGE;
+		snprintf(bytes, sizeof(bytes),
+			 "GET /once/x HTTP/1.1\r\nHost: h\r\n"
+			 "Request-Id: large%zu\r\n\r\n",
+			 j);
+		CU_ASSERT_EQUAL(request_status(&r, bytes), 200);
+		for (i = 0; i < CALLERS; i++)
+			bufferevent_free(callers[i]);
 	}
-	world_run_loop(r.w, 2000);
-	for (i = 0; i < SERVERS; i++)
-		((world_server_t *)r.w->servers->pdata[i])->faulty_requests = 0;
-	for (i = 0; i < CALLERS; i++)
-		bufferevent_free(callers[i]);
-	kb = peak_memory_kb(r.d->pid);
-	if (kb == 0 || kb > HOST_MEMORY_KB)
-		printf("\n  peak memory %lu kB\n", kb);
-	CU_ASSERT(kb > 0 && kb <= HOST_MEMORY_KB);
-	world_run_loop(r.w, 3000);
-	CU_ASSERT_EQUAL(request_status(&r, GET("/all/x", "after")), 200);
+	check_memory(&r, "sound answers", 0);
 	world_free(r.w);
 }
 
+/* Checks that the new state is in force on a daemon: the route "one" is gone,
+ * and the draining server a[0] gets no request. */
+static void check_new_state(setup_t *r, const world_daemon_t *d)
+{
+	unsigned before = r->a[0]->runs, i;
+	world_answer_t a;
+
+	world_request(r->w, d->listen, GET("/one/x", "new"), ANSWER_TIMEOUT_MS,
+		      &a);
+	CU_ASSERT_EQUAL(a.status, 404);
+	clear(&a);
+	for (i = 0; i < 4; i++) {
+		world_request(r->w, d->listen, GET("/all/x", "new"),
+			      ANSWER_TIMEOUT_MS, &a);
+		CU_ASSERT_EQUAL(a.status, 200);
+		clear(&a);
+	}
+	CU_ASSERT_EQUAL(r->a[0]->runs, before);
+}
+
+/* The registry answers with bytes without end: the daemon's memory stays within
+ * that of a small host, requests are served, and the next state is followed. */
+static void test_endless_registry(void)
+{
+	enum { LOAD_MS = 1500 };
+	static const server_fault_t faults[] = {
+		FAULT_ENDLESS_BODY,    FAULT_ENDLESS_HEAD,
+		FAULT_ENDLESS_LINES,   FAULT_ENDLESS_CHUNKS,
+		FAULT_ENDLESS_INTERIM, FAULT_ENDLESS_JUNK,
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+		setup_t r = setup_new();
+
+		r.w->store_endless = faults[i];
+		world_put(r.w, "op/other", "a change ends the watch");
+		world_run_loop(r.w, LOAD_MS);
+		CU_ASSERT_EQUAL(request_status(&r, GET("/all/x", "r")), 200);
+		r.w->store_endless = FAULT_NONE;
+		publish_conf(r.w, CONF_HEAD CONF_ALL CONF_TAIL, 9);
+		world_publish_server(r.a[0], "draining");
+		world_run_loop(r.w, 3500);
+		check_memory(&r, "registry", i);
+		check_new_state(&r, r.d);
+		world_free(r.w);
+	}
+}
+
 /* Guards against an answer that stops the daemon: while one server sends heads
  * of many lines, readiness checks and requests to the other one are answered.
  */
@@ -732,26 +856,6 @@
 	world_free(r.w);
 }
 
-/* Checks that the new state is in force on a daemon: the route "one" is gone,
- * and the draining server a[0] gets no request. */
-static void check_new_state(setup_t *r, const world_daemon_t *d)
-{
-	unsigned before = r->a[0]->runs, i;
-	world_answer_t a;
-
-	world_request(r->w, d->listen, GET("/one/x", "new"), ANSWER_TIMEOUT_MS,
-		      &a);
-	CU_ASSERT_EQUAL(a.status, 404);
-	clear(&a);
-	for (i = 0; i < 4; i++) {
-		world_request(r->w, d->listen, GET("/all/x", "new"),
-			      ANSWER_TIMEOUT_MS, &a);
-		CU_ASSERT_EQUAL(a.status, 200);
-		clear(&a);
-	}
-	CU_ASSERT_EQUAL(r->a[0]->runs, before);
-}
-
 /*
  * A change has ended the watches of all daemons at the same moment, and the
  * registry never answers the next ones, or never ends its answers, though it
@@ -1494,6 +1598,8 @@
 	{ "a server asks for a pause", test_server_retry_after },
 	{ "an answer before the body was read", test_early_answer },
 	{ "answers without end", test_endless_answers },
+	{ "a sound answer among endless ones", test_sound_among_endless },
+	{ "a registry that answers without end", test_endless_registry },
 	{ "answers with many header lines", test_many_lines },
 	{ "valid and invalid requests", test_callers },
 	{ "long text in header lines", test_long_text },
