Callers: requests and unread answers no longer fill the memory of a host

Cause: each request had a limit, all together had none. 512 kB were read behind a request that waits, and the next request of a connection began though its answers had not been read.

Change: the memory of all callers' requests is counted and limited to 32 MB. Beyond it the largest incomplete request is refused with 503 and Retry-After: it was sent to no server. 16 kB are read ahead, and a request waits until the answers before it have been written.

Evidence: the new edge-test "callers that send without end" failed before with both protocols and passes.

--- a/daemon/edge_caller.c
+++ b/daemon/edge_caller.c
@@ -17,8 +17,11 @@
 #include "libedge.h"
 
 #define BACKLOG 1024
-/* Bytes that a caller may send ahead of its answers. */
-#define MAX_READ_AHEAD ((size_t)512 << 10)
+/* Bytes of later requests that are read while one waits for its answer. */
+#define MAX_READ_AHEAD ((size_t)16 << 10)
+/* Limit of all requests together; the smallest hosts have 160 MB. */
+#define MAX_REQUESTS_BYTES ((size_t)32 << 20)
+#define MEMORY_RETRY_AFTER (1 * USEC_PER_SEC) /* when that limit is reached */
 /* Time for a caller to read the last answer before the connection is closed. */
 #define LINGER_TIME (1 * USEC_PER_SEC)
 /* Connections stay open 20 % longer than the idle time that callers expect. */
@@ -50,6 +53,7 @@
 	usec_t due_at;	    /* of the answer that is being written; 0: none */
 	bool sent_continue; /* 100 Continue was written */
 	bool timing_body;   /* the timer is for the body, not the headers */
+	size_t received; /* bytes of memory for the request and those ahead */
 	GString *forwarded_headers;
 	caller_t *prev;
 	caller_t *next;
@@ -59,6 +63,7 @@
 	struct evconnlistener *listener;
 	caller_t *head;
 	size_t n;
+	size_t received; /* sum of caller_t::received */
 };
 
 static void set_timer(caller_t *c, usec_t in)
@@ -68,10 +73,17 @@
 	evtimer_add(c->timer, &tv);
 }
 
+static void set_received(caller_t *c, size_t n)
+{
+	c->e->callers->received += n - c->received;
+	c->received = n;
+}
+
 static void caller_free(caller_t *c)
 {
 	struct callers *callers = c->e->callers;
 
+	set_received(c, 0);
 	if (c->prev)
 		c->prev->next = c->next;
 	else
@@ -111,6 +123,8 @@
 {
 	c->state = CALLER_LINGERING;
 	set_timer(c, LINGER_TIME);
+	http_msg_reset(&c->msg, HTTP_REQUEST);
+	set_received(c, 0);
 	/* Shut down for writing only, which the caller sees at once. Closing
 	 * with unread input sends a reset, which may discard the answer. */
 	if (evbuffer_get_length(bufferevent_get_output(c->bev)) == 0)
@@ -140,6 +154,7 @@
 	c->sent_continue = false;
 	c->timing_body = false;
 	c->state = CALLER_IDLE;
+	set_received(c, evbuffer_get_length(bufferevent_get_input(c->bev)));
 	set_timer(c, (usec_t)((double)l->idle_timeout * IDLE_TIME_FACTOR));
 	/* Deferred: this may be called while an answer is being handled. */
 	if (evbuffer_get_length(bufferevent_get_input(c->bev)))
@@ -356,6 +371,30 @@
 	reject(c, faults[c->msg.fault].status, faults[c->msg.fault].why);
 }
 
+/* Counts the memory for a caller's requests. If that of all callers is too
+ * large, refuses the largest request that is incomplete: it can't have run. */
+static void count_received(caller_t *c)
+{
+	struct callers *callers = c->e->callers;
+	caller_t *largest = NULL, *x;
+	size_t ahead = evbuffer_get_length(bufferevent_get_input(c->bev));
+
+	set_received(c, http_msg_memory(&c->msg) + ahead);
+	if (callers->received <= MAX_REQUESTS_BYTES)
+		return;
+	for (x = callers->head; x; x = x->next)
+		if (x->state == CALLER_READING &&
+		    (!largest || x->received > largest->received))
+			largest = x;
+	if (!largest)
+		return;
+	log_json(G_LOG_LEVEL_WARNING, "rejected",
+		 "\"why\":\"memory\",\"status\":503,\"bytes\":%zu,"
+		 "\"of_all\":%zu",
+		 largest->received, callers->received);
+	answer_error(largest, 503, "memory", MEMORY_RETRY_AFTER, false);
+}
+
 static void on_read(struct bufferevent *bev, void *arg)
 {
 	struct evbuffer *in = bufferevent_get_input(bev);
@@ -365,8 +404,14 @@
 		evbuffer_drain(in, evbuffer_get_length(in));
 		return;
 	}
+	if (c->state == CALLER_WAITING)
+		count_received(c);
 	if (c->state == CALLER_WAITING || evbuffer_get_length(in) == 0)
 		return;
+	/* A caller that doesn't read its answers gets no further ones. */
+	if (c->state == CALLER_IDLE &&
+	    evbuffer_get_length(bufferevent_get_output(bev)))
+		return;
 	if (c->state == CALLER_IDLE) {
 		c->state = CALLER_READING;
 		set_timer(c, limits(c)->header_timeout);
@@ -381,6 +426,8 @@
 		evbuffer_add_printf(bufferevent_get_output(bev),
 				    "HTTP/1.1 100 Continue\r\n\r\n");
 	}
+	if (c->state == CALLER_READING || c->state == CALLER_WAITING)
+		count_received(c);
 	edge_run_actions(c->e);
 }
 
@@ -393,6 +440,10 @@
 	c->due_at = 0;
 	if (c->state == CALLER_LINGERING)
 		shutdown(bufferevent_getfd(bev), SHUT_WR);
+	/* A request that waited for this. */
+	if (c->state == CALLER_IDLE &&
+	    evbuffer_get_length(bufferevent_get_input(bev)))
+		bufferevent_trigger(bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
 static void on_event(struct bufferevent *bev, short what, void *arg)
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -614,6 +614,66 @@
 	}
 }
 
+/* Callers send bodies that don't end, send far ahead of their answers, or never
+ * read these: the daemon's memory stays within that of a small host, and other
+ * callers are served. Bytes without end at the readiness check, too. */
+static void test_endless_callers(void)
+{
+	enum { BODY = 3 << 20, LOAD_MS = 1500, WORK_MS = 3000 };
+	static const struct {
+		const char *head;
+		size_t callers;
+		size_t repeat; /* times that the head is sent */
+		size_t bytes;  /* sent behind it */
+		server_fault_t fault;
+		unsigned work_ms;
+		bool ready; /* to the address of readiness checks */
+	} cases[] = {
+		{ HEAD("/one/x", "c") "Transfer-Encoding: chunked\r\n\r\n"
+				      "7fffffff\r\n",
+		  80, 1, BODY, FAULT_NONE, 0, false },
+		{ HEAD("/one/x", "c") "Content-Length: 3145729\r\n\r\n", 80, 1,
+		  BODY, FAULT_NONE, 0, false },
+		{ GET("/one/x", "c"), 500, 1, 600000, FAULT_NONE, WORK_MS,
+		  false },
+		{ GET("/one/x", "c"), 2, 100, 0, FAULT_LARGE, 0, false },
+	};
+	char *bytes = g_strnfill(BODY, 'x');
+	size_t i, j, k;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct bufferevent **callers =
+			g_new0(struct bufferevent *, cases[i].callers);
+		setup_t r = setup_new();
+
+		publish_large_limits(&r);
+		r.a[0]->fault = cases[i].fault;
+		r.a[0]->faulty_requests = UINT_MAX;
+		r.a[0]->work_ms = cases[i].work_ms;
+		for (j = 0; j < cases[i].callers; j++) {
+			callers[j] = world_connect(
+				r.w, cases[i].ready ? r.d->ready : r.d->listen);
+			bufferevent_disable(callers[j], EV_READ);
+			for (k = 0; k < cases[i].repeat; k++)
+				world_write(r.w, callers[j], cases[i].head);
+			evbuffer_add_reference(
+				bufferevent_get_output(callers[j]), bytes,
+				cases[i].bytes, NULL, NULL);
+		}
+		world_run_loop(r.w, LOAD_MS);
+		check_memory(&r, "callers", i);
+		CU_ASSERT(world_wait_ready(r.w, r.d, true, READY_TIMEOUT_MS));
+		r.a[0]->work_ms = 0;
+		r.a[0]->fault = FAULT_NONE;
+		wait_served(&r);
+		for (j = 0; j < cases[i].callers; j++)
+			bufferevent_free(callers[j]);
+		g_free(callers);
+		world_free(r.w);
+	}
+	g_free(bytes);
+}
+
 /* Guards against an answer that stops the daemon: while one server sends heads
  * of many lines, readiness checks and requests to the other one are answered.
  */
@@ -1600,6 +1660,7 @@
 	{ "answers without end", test_endless_answers },
 	{ "a sound answer among endless ones", test_sound_among_endless },
 	{ "a registry that answers without end", test_endless_registry },
+	{ "callers that send without end", test_endless_callers },
 	{ "answers with many header lines", test_many_lines },
 	{ "valid and invalid requests", test_callers },
 	{ "long text in header lines", test_long_text },
