--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -24,6 +24,9 @@
 /* Period of the calls of rt_check_suspension(): a quarter of the shortest
  * suspension that it detects. */
 #define SUSPEND_CHECK_MS 250
+/* Limits of the headers and of the body of a readiness check, or of a request
+ * for metrics. */
+#define MAX_CHECK_BYTES 16384
 
 typedef void (*act_fn_t)(edge_t *e, const rt_act_t *act);
 
@@ -207,6 +210,8 @@
 	unsigned port;
 
 	addr_split(str_of(addr), host, &port);
+	evhttp_set_max_headers_size(h, MAX_CHECK_BYTES);
+	evhttp_set_max_body_size(h, MAX_CHECK_BYTES);
 	evhttp_set_cb(h, path, fn, e);
 	if (evhttp_bind_socket(h, host, (ev_uint16_t)port) == 0)
 		return h;
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -637,6 +637,10 @@
 		{ GET("/one/x", "c"), 500, 1, 600000, FAULT_NONE, WORK_MS,
 		  false },
 		{ GET("/one/x", "c"), 2, 100, 0, FAULT_LARGE, 0, false },
+		{ "GET /ready HTTP/1.1\r\nX: ", 80, 1, BODY, FAULT_NONE, 0,
+		  true },
+		{ "GET /ready HTTP/1.1\r\nContent-Length: 3145729\r\n\r\n", 80,
+		  1, BODY, FAULT_NONE, 0, true },
 	};
 	char *bytes = g_strnfill(BODY, 'x');
 	size_t i, j, k;
