--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -28,8 +28,8 @@
 typedef struct field {
 	const char *key;
 	value_type_t type;
-	size_t offset;
 	bool required;
+	size_t offset;
 	double min; /* of a figure, in the unit of the member */
 	double max;
 	double scale; /* of a figure: from its unit to that of the member */
@@ -38,46 +38,46 @@
 #define OFFSET(member) offsetof(settings_t, member)
 
 static const field_t fields[] = {
-	{ "name", TYPE_STRING, OFFSET(name), true, 0, 0, 0 },
-	{ "data_centre", TYPE_STRING, OFFSET(dc), true, 0, 0, 0 },
-	{ "listen", TYPE_ADDR, OFFSET(listen), true, 0, 0, 0 },
-	{ "admin", TYPE_ADDR, OFFSET(admin), true, 0, 0, 0 },
-	{ "peer", TYPE_ADDR, OFFSET(peer), true, 0, 0, 0 },
-	{ "peer_advertise", TYPE_ADDR, OFFSET(peer_advertise), false, 0, 0, 0 },
-	{ "platform", TYPE_ADDRS, OFFSET(platform), false, 0, 0, 0 },
-	{ "seeds", TYPE_ADDRS, OFFSET(seeds), false, 0, 0, 0 },
-	{ "admin_token", TYPE_STRING, OFFSET(admin_token), false, 0, 0, 0 },
-	{ "peer_secret_key", TYPE_STRING, OFFSET(peer_secret_key), false, 0, 0,
+	{ "name", TYPE_STRING, true, OFFSET(name), 0, 0, 0 },
+	{ "data_centre", TYPE_STRING, true, OFFSET(dc), 0, 0, 0 },
+	{ "listen", TYPE_ADDR, true, OFFSET(listen), 0, 0, 0 },
+	{ "admin", TYPE_ADDR, true, OFFSET(admin), 0, 0, 0 },
+	{ "peer", TYPE_ADDR, true, OFFSET(peer), 0, 0, 0 },
+	{ "peer_advertise", TYPE_ADDR, false, OFFSET(peer_advertise), 0, 0, 0 },
+	{ "platform", TYPE_ADDRS, false, OFFSET(platform), 0, 0, 0 },
+	{ "seeds", TYPE_ADDRS, false, OFFSET(seeds), 0, 0, 0 },
+	{ "admin_token", TYPE_STRING, false, OFFSET(admin_token), 0, 0, 0 },
+	{ "peer_secret_key", TYPE_STRING, false, OFFSET(peer_secret_key), 0, 0,
 	  0 },
-	{ "peer_public_key", TYPE_STRING, OFFSET(peer_public_key), false, 0, 0,
+	{ "peer_public_key", TYPE_STRING, false, OFFSET(peer_public_key), 0, 0,
 	  0 },
-	{ "policy", TYPE_STRING, OFFSET(policy), false, 0, 0, 0 },
-	{ "log_level", TYPE_STRING, OFFSET(log_level), false, 0, 0, 0 },
-	{ "stop_grace_ms", TYPE_REAL, OFFSET(stop_grace_ms), false, 0, MAX_MS,
+	{ "policy", TYPE_STRING, false, OFFSET(policy), 0, 0, 0 },
+	{ "log_level", TYPE_STRING, false, OFFSET(log_level), 0, 0, 0 },
+	{ "stop_grace_ms", TYPE_REAL, false, OFFSET(stop_grace_ms), 0, MAX_MS,
 	  1 },
-	{ "stop_limit_ms", TYPE_REAL, OFFSET(stop_limit_ms), false, 0, MAX_MS,
+	{ "stop_limit_ms", TYPE_REAL, false, OFFSET(stop_limit_ms), 0, MAX_MS,
 	  1 },
 	/* After stop_limit_ms, which it replaces. */
-	{ "stop_limit_s", TYPE_REAL, OFFSET(stop_limit_ms), false, 0, MAX_MS,
+	{ "stop_limit_s", TYPE_REAL, false, OFFSET(stop_limit_ms), 0, MAX_MS,
 	  1000 },
-	{ "hedge_percentile", TYPE_COUNT, OFFSET(hedge_percentile), false, 0,
+	{ "hedge_percentile", TYPE_COUNT, false, OFFSET(hedge_percentile), 0,
 	  99, 1 },
-	{ "hedge_budget_percent", TYPE_COUNT, OFFSET(hedge_budget_percent),
-	  false, 0, 100, 1 },
-	{ "retry_budget_percent", TYPE_COUNT, OFFSET(retry_budget_percent),
-	  false, 0, 100, 1 },
-	{ "seed", TYPE_COUNT, OFFSET(seed), false, 0, UINT32_MAX, 1 },
-	{ "outside", TYPE_STRING, OFFSET(protocol), false, 0, 0, 0 },
-	{ "registry", TYPE_ADDR, OFFSET(registry_addr), false, 0, 0, 0 },
-	{ "ready", TYPE_ADDR, OFFSET(ready_listen), false, 0, 0, 0 },
-	{ "apply_limit_ms", TYPE_REAL, OFFSET(apply_limit_ms), false,
+	{ "hedge_budget_percent", TYPE_COUNT, false,
+	  OFFSET(hedge_budget_percent), 0, 100, 1 },
+	{ "retry_budget_percent", TYPE_COUNT, false,
+	  OFFSET(retry_budget_percent), 0, 100, 1 },
+	{ "seed", TYPE_COUNT, false, OFFSET(seed), 0, UINT32_MAX, 1 },
+	{ "outside", TYPE_STRING, false, OFFSET(protocol), 0, 0, 0 },
+	{ "registry", TYPE_ADDR, false, OFFSET(registry_addr), 0, 0, 0 },
+	{ "ready", TYPE_ADDR, false, OFFSET(ready_listen), 0, 0, 0 },
+	{ "apply_limit_ms", TYPE_REAL, false, OFFSET(apply_limit_ms),
 	  APPLY_LIMIT_MIN_MS, MAX_MS, 1 },
-	{ "fleet", TYPE_COUNT, OFFSET(fleet_hosts), false, 1, 100000, 1 },
-	{ "extra_fixed", TYPE_REAL, OFFSET(extra_sends_fixed), false, 0,
+	{ "fleet", TYPE_COUNT, false, OFFSET(fleet_hosts), 1, 100000, 1 },
+	{ "extra_fixed", TYPE_REAL, false, OFFSET(extra_sends_fixed), 0,
 	  1000000, 1 },
-	{ "extra_share", TYPE_REAL, OFFSET(extra_sends_share), false, 0, 10,
+	{ "extra_share", TYPE_REAL, false, OFFSET(extra_sends_share), 0, 10,
 	  1 },
-	{ "extra_window_s", TYPE_REAL, OFFSET(extra_sends_window_s), false,
+	{ "extra_window_s", TYPE_REAL, false, OFFSET(extra_sends_window_s),
 	  EXTRA_WINDOW_MIN_S, 3600, 1 },
 };
 
--- a/tests/unit_settings.c
+++ b/tests/unit_settings.c
@@ -96,17 +96,17 @@
 	static const struct {
 		const char *members;
 		unsigned fleet;
+		unsigned faults;
 		double apply_limit_ms;
 		double window_s;
-		unsigned faults;
 	} cases[] = {
-		{ "", 12, 3000, 10, 0 },
+		{ "", 12, 0, 3000, 10 },
 		{ ",\"fleet\":100.0,\"apply_limit_ms\":2500.5,"
 		  "\"extra_window_s\":0.5",
-		  100, 2500.5, 0.5, 0 },
-		{ ",\"fleet\":2.5", 12, 3000, 10, 1 },
+		  100, 0, 2500.5, 0.5 },
+		{ ",\"fleet\":2.5", 12, 1, 3000, 10 },
 		{ ",\"fleet\":0,\"apply_limit_ms\":0,\"extra_window_s\":0", 1,
-		  200, 0.1, 3 },
+		  3, 200, 0.1 },
 	};
 	settings_t s;
 	size_t i;
