--- a/Makefile
+++ b/Makefile
@@ -133,6 +133,13 @@
 		$(addprefix -I,base conf core wire) $(CFLAGS_PKGS) -o $@ $^ \
 		$(call pkg_libs,jansson msgpack libxxhash) -lm
 
+$(BUILD)/fuzz-http: tests/fuzz_http.c daemon/edge_http.c $(BASE)
+	@mkdir -p $(@D)
+	clang -std=gnu11 -D_GNU_SOURCE -O1 -g \
+		-fsanitize=fuzzer,address,undefined \
+		$(addprefix -I,$(INCLUDES)) $(CFLAGS_PKGS) -o $@ $^ \
+		$(call pkg_libs,glib-2.0 libevent libxxhash) -lhttp_parser -lm
+
 $(BUILD)/deploy-%: $(BUILD)/deploy/%.o $(call obj,$(BASE) $(CONF))
 	$(CC) -o $@ $^ $(LIBS)
 
