Fleet: a reload of apply_limit_ms reaches the takeover of readers

Callers would see: changes in force later than a new, shorter configApplyMs, on hosts that were not restarted since it changed.

Cause: the time was given to the fleet at the start only.

Change: a reload sets it.

Evidence: the unit test "staggered readers when the registry is silent", now also with half the time after a reload, failed while the new function did nothing, and passes.

--- a/daemon/edge.c
+++ b/daemon/edge.c
@@ -323,6 +323,8 @@
 	settings_free(&old);
 	fill_params(&r->settings, &p);
 	rt_set_params(e->rt, &p);
+	fleet_set_apply_time(e->fleet,
+			     settings_usec(r->settings.apply_limit_ms));
 	log_set_level(s.log_level);
 	if (!registry_has_addr(e->registry, s.registry_addr)) {
 		registry_free(e->registry);
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -183,6 +183,8 @@
 
 /** Creates a fleet; the strings of the parameters are copied. */
 fleet_t *fleet_new(const fleet_params_t *p, usec_t now);
+/** Changes fleet_params_t::apply_time. */
+void fleet_set_apply_time(fleet_t *f, usec_t apply_time);
 /** Frees a fleet; NULL is allowed. */
 void fleet_free(fleet_t *f);
 /**
--- a/fleet/fleet_member.c
+++ b/fleet/fleet_member.c
@@ -71,6 +71,11 @@
 	return f;
 }
 
+void fleet_set_apply_time(fleet_t *f, usec_t apply_time)
+{
+	f->apply_time = apply_time;
+}
+
 static void member_clear(fleet_member_t *m)
 {
 	str_free(m->addr);
--- a/tests/unit_outside.c
+++ b/tests/unit_outside.c
@@ -677,8 +677,9 @@
 }
 
 /* While no host gets a confirmation from the registry, hosts start to read one
- * after the other, not all at once. */
-static void test_readers_when_silent(void)
+ * after the other, not all at once; the sooner the shorter a reload has made
+ * the time in which changes must be in force. */
+static void check_silent_readers(unsigned divisor)
 {
 	static const struct {
 		usec_t after; /* since the last confirmation */
@@ -715,10 +716,12 @@
 		run_readers(f, running, now);
 	}
 	now -= 100 * USEC_PER_MSEC;
+	for (i = 0; i < HOSTS; i++)
+		fleet_set_apply_time(f[i], APPLY_TIME / divisor);
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		n = 0;
 		for (j = 0; j < HOSTS; j++)
-			n += fleet_role(f[j], now + cases[i].after) !=
+			n += fleet_role(f[j], now + cases[i].after / divisor) !=
 			     FLEET_FOLLOWER;
 		CU_ASSERT(n >= cases[i].min_readers &&
 			  n <= cases[i].max_readers);
@@ -727,6 +730,12 @@
 		fleet_free(f[i]);
 }
 
+static void test_readers_when_silent(void)
+{
+	check_silent_readers(1);
+	check_silent_readers(2);
+}
+
 void unit_outside(void)
 {
 	static const struct {
