Edge tests: published state and limits in files of their own

Moved without a change of any check: the shared rig to edge_rig.c, tests of published state to edge_state.c, tests of limits to edge_limits.c.

--- a/Makefile
+++ b/Makefile
@@ -93,7 +93,7 @@
 	daemon/outside_own.c daemon/listen.c
 
 $(BUILD)/edge-test: $(call obj,$(EDGE_SHARED) $(EDGE_STANDINS) standin/http.c \
-	tests/edge_main.c tests/known_red.c)
+	$(wildcard tests/edge_*.c) tests/known_red.c)
 	$(CC) -o $@ $^ $(LIBS) $(LIBS_TEST_PKGS)
 
 $(BUILD)/soak: $(call obj,$(EDGE_SHARED) $(EDGE_STANDINS) standin/http.c \
