Routes: a high mean latency refuses requests only while answers are recent

Callers would see: every request of a route refused at once with 503, for good, after its first answers, or its last ones, took nearly as long as callers wait. Found once in 46 plays of the edge-test "answers without end" ("requests are not served again"); that this was the cause there is likely, not shown.

Cause: a request that cannot be in time by the route's mean latency is refused at once, and only an answer changes the mean: what is refused gets none.

Change: without an answer of the route for 2 s its mean refuses nothing. The edge-test prints row, status and reason of what is not served.

Evidence: the new unit test "a route whose first answers are slow" failed before (no send in 20 s after one answer of 880 ms, with 800 ms left) and passes.

--- a/route/libroute.h
+++ b/route/libroute.h
@@ -20,6 +20,7 @@
 	usec_t hedge_latency; /* latency quantile of hedged sends; 0: none
 				 answered */
 	uint64_t nsamples;
+	usec_t answered_at; /* time of the last answer */
 } rt_stat_t;
 
 /* Sends to a service over a sliding window. The rings of buckets hold two
@@ -255,7 +256,7 @@
 
 /* rt_stat.c: latency statistics of routes. */
 /* Adds the latency of an answer to any send. */
-void rt_stat_add(rt_stat_t *s, usec_t latency);
+void rt_stat_add(rt_stat_t *s, usec_t latency, usec_t now);
 /* Adds the latency of an answer to a hedged send; such a send often needs a
  * new connection. */
 void rt_stat_add_hedge(rt_stat_t *s, usec_t latency);
@@ -263,6 +264,10 @@
 usec_t rt_stat_hedge_latency(const rt_stat_t *s);
 /* Mean latency, or a default before the first answer. */
 usec_t rt_stat_mean(const rt_stat_t *s);
+/* Mean latency to expect of a request that begins now. Without a recent answer
+ * it is at most the default: a high mean that refused all requests would
+ * otherwise never fall. */
+usec_t rt_stat_expected(const rt_stat_t *s, usec_t now);
 /* Latency above which a send counts as late. */
 usec_t rt_stat_late_limit(const rt_stat_t *s);
 
--- a/route/rt_server.c
+++ b/route/rt_server.c
@@ -222,7 +222,7 @@
 	if (!was_slow && s->failing < FAIL_NEGLIGIBLE)
 		pace = rt_server_current_cost(s, rt_svc_best_cost(s->svc), now);
 	s->evidence_at = now;
-	rt_stat_add(a->stat, latency);
+	rt_stat_add(a->stat, latency, now);
 	rt_wait_add_latency(s->svc, latency, now);
 	if (a->why == RT_WHY_HEDGE)
 		rt_stat_add_hedge(a->stat, latency);
--- a/route/rt_stat.c
+++ b/route/rt_stat.c
@@ -6,6 +6,8 @@
 /* Step of a quantile: 1/16 of the mean. */
 #define QUANTILE_STEP_DIVISOR 16
 #define MEAN_DEFAULT (15 * USEC_PER_MSEC) /* before the first answer */
+/* Age of the last answer above which the mean refuses no request. */
+#define MEAN_FRESH (2 * USEC_PER_SEC)
 #define MIN_SAMPLES 20	  /* answers needed for the late limit */
 #define HEDGE_SHARE 0.85  /* share of hedged sends below their quantile */
 #define HEDGE_MIN_MEANS 3 /* least hedge latency, in mean latencies */
@@ -18,6 +20,15 @@
 	return s->nsamples ? s->mean : MEAN_DEFAULT;
 }
 
+usec_t rt_stat_expected(const rt_stat_t *s, usec_t now)
+{
+	usec_t mean = rt_stat_mean(s);
+
+	if (now - s->answered_at > MEAN_FRESH && mean > MEAN_DEFAULT)
+		return MEAN_DEFAULT;
+	return mean;
+}
+
 usec_t rt_stat_late_limit(const rt_stat_t *s)
 {
 	usec_t mean = rt_stat_mean(s);
@@ -53,10 +64,11 @@
 		      rt_stat_mean(s) / QUANTILE_STEP_DIVISOR, HEDGE_SHARE);
 }
 
-void rt_stat_add(rt_stat_t *s, usec_t latency)
+void rt_stat_add(rt_stat_t *s, usec_t latency, usec_t now)
 {
 	usec_t capped;
 
+	s->answered_at = now;
 	if (s->nsamples == 0) {
 		s->mean = latency;
 		s->late_limit = latency * 2;
--- a/route/rt_wait.c
+++ b/route/rt_wait.c
@@ -9,7 +9,9 @@
  * the oldest shards become late. Shards that can still be in time are then
  * started before late ones; otherwise all of them would become late. If all
  * servers are removed, drained or in a pause that they asked for, the shards
- * that wait are failed at once, not at their deadlines.
+ * that wait are failed at once, not at their deadlines. The last answers of a
+ * route were slower than callers wait: its requests are refused, but only as
+ * long as answers are recent.
  */
 #include "libroute.h"
 
@@ -169,7 +171,7 @@
 		if (sh->q->route->priority <= q->route->priority)
 			ahead++;
 	if (ahead == 0)
-		return rt_stat_mean(q->stat);
+		return rt_stat_expected(q->stat, now);
 	for (i = 0; i < svc->n; i++)
 		if (rt_server_accepts(svc->v[i], now))
 			capacity += rt_server_max_inflight(rt, svc->v[i]);
--- a/tests/edge_limits.c
+++ b/tests/edge_limits.c
@@ -42,12 +42,19 @@
 }
 
 /* Requests are served again, after servers have been avoided for a while. */
-static void wait_served(setup_t *r)
+static void wait_served(setup_t *r, size_t i)
 {
+	world_answer_t a;
 	unsigned ms;
 
 	for (ms = 0; ms < READY_TIMEOUT_MS; ms += 200) {
-		if (request_status(r, GET("/all/x", "after")) == 200)
+		world_request(r->w, r->d->listen, GET("/all/x", "after"),
+			      ANSWER_TIMEOUT_MS, &a);
+		if (a.status != 200)
+			printf("\n  case %zu: status %u at %u ms: %s\n", i,
+			       a.status, ms, a.body->str);
+		answer_clear(&a);
+		if (a.status == 200)
 			return;
 		world_run_loop(r->w, 200);
 	}
@@ -92,7 +99,7 @@
 		for (i = 0; i < CALLERS; i++)
 			bufferevent_free(callers[i]);
 		check_memory(&r, "answers", j);
-		wait_served(&r);
+		wait_served(&r, j);
 		world_free(r.w);
 	}
 }
@@ -220,7 +227,7 @@
 		CU_ASSERT(world_wait_ready(r.w, r.d, true, READY_TIMEOUT_MS));
 		r.a[0]->work_ms = 0;
 		r.a[0]->fault = FAULT_NONE;
-		wait_served(&r);
+		wait_served(&r, i);
 		for (j = 0; j < cases[i].callers; j++)
 			bufferevent_free(callers[j]);
 		g_free(callers);
--- a/tests/unit_load.c
+++ b/tests/unit_load.c
@@ -887,6 +887,29 @@
 	}
 }
 
+/* Guards against a route that is never served again: its first answers took
+ * about as long as callers wait, and its servers are fast since. */
+static void test_served_after_slow_start(void)
+{
+	enum { SECONDS = 20 };
+	rig_t *r = rig_new(1, 3);
+	size_t i, before;
+
+	rig_request_within(r, "/one/x", r, 900 * MS);
+	rig_advance(r, 880 * MS);
+	for (i = 0; i < r->nsent; i++)
+		rig_end_send(r, i, RT_ANSWERED, "x");
+	before = r->nsent;
+	for (i = 0; i < SECONDS; i++) {
+		rig_request_within(r, "/one/x", r, 800 * MS);
+		if (r->nsent > before)
+			break;
+		rig_advance(r, USEC_PER_SEC);
+	}
+	CU_ASSERT(r->nsent > before);
+	rig_free(r);
+}
+
 void unit_load(void)
 {
 	static const struct {
@@ -922,6 +945,8 @@
 		  test_shedding_server },
 		{ "reports of other hosts", test_peer_report },
 		{ "weights with few requests", test_weights },
+		{ "a route whose first answers are slow",
+		  test_served_after_slow_start },
 	};
 	CU_pSuite s = CU_add_suite("load", NULL, NULL);
 	size_t i;
