Known red: deadlines do not run while a server sends without end

Callers would see: no answer, not even 504, of requests that no server answers, for as long as other servers send interim answers without end.

Cause, by reading: set_tick_timer() sets the timer of deadlines anew after each event, which takes one that is due out of libevent's active events; it runs only in a turn without such an event.

--- a/tests/edge_limits.c
+++ b/tests/edge_limits.c
@@ -324,7 +324,47 @@
 	world_free(r.w);
 }
 
+/* Guards against timers that never run: while servers send without end, a
+ * request that a silent server never answers has its final answer at its
+ * deadline. */
+static void test_deadline_beside_endless(void)
+{
+	enum { SERVERS = 10, CALLERS = 40, LIMIT_MS = 1000, SLACK_MS = 500 };
+	struct bufferevent *callers[CALLERS];
+	setup_t r = setup_new();
+	world_answer_t a;
+	size_t i;
+
+	for (i = 3; i < SERVERS; i++)
+		world_start_server(r.w, "b", "x");
+	world_run_loop(r.w, 1200);
+	for (i = 0; i < SERVERS; i++) {
+		world_server_t *s = r.w->servers->pdata[i];
+
+		s->fault = s->service[0] == 'a' ? FAULT_NO_ANSWER
+						: FAULT_ENDLESS_INTERIM;
+		s->faulty_requests = UINT_MAX;
+	}
+	for (i = 0; i < CALLERS; i++) {
+		callers[i] = world_connect(r.w, r.d->listen);
+		world_write(r.w, callers[i], GET("/all/x", "endless"));
+	}
+	world_request(r.w, r.d->listen, GET("/once/x", "silent"),
+		      ANSWER_TIMEOUT_MS, &a);
+	if (a.latency > (LIMIT_MS + SLACK_MS) * USEC_PER_MSEC)
+		printf("\n  status %u after %lld ms\n", a.status,
+		       (long long)(a.latency / USEC_PER_MSEC));
+	CU_ASSERT_EQUAL(a.status, 504);
+	CU_ASSERT(a.latency <= (LIMIT_MS + SLACK_MS) * USEC_PER_MSEC);
+	answer_clear(&a);
+	for (i = 0; i < CALLERS; i++)
+		bufferevent_free(callers[i]);
+	world_free(r.w);
+}
+
 const edge_test_t edge_limits_tests[] = {
+	{ "deadlines beside answers without end",
+	  test_deadline_beside_endless },
 	{ "answers without end", test_endless_answers },
 	{ "a sound answer among endless ones", test_sound_among_endless },
 	{ "a registry that answers without end", test_endless_registry },
