Daemon: log the way of a large change from host to host

To tell a slow distribution from a lost request and from an old copy, three lines give the bytes of a change of 32 KB or more, from whom it came, who read it, and to how many hosts it went; a fourth tells how long its parsing took.

--- a/daemon/edge_peer.c
+++ b/daemon/edge_peer.c
@@ -16,6 +16,8 @@
 /* The registry counts as silent if the state is older than this share of
  * apply_limit_ms: then neighbours of any data centre are asked as well. */
 #define SILENT_SHARE 0.6
+/* Changes of so many bytes are logged: their way to all hosts takes time. */
+#define LARGE_CHANGE_BYTES ((size_t)32 << 10)
 
 struct fleet_peers {
 	edge_t *e;
@@ -103,6 +105,22 @@
 	return n;
 }
 
+/* Logs a change that takes time on links: its way from host to host. hosts:
+ * how many it is sent to. */
+static void log_large_change(const char *event, const fleet_msg_t *m,
+			     uint64_t revision, size_t hosts)
+{
+	size_t bytes = items_size(m);
+
+	if (bytes >= LARGE_CHANGE_BYTES)
+		log_json(G_LOG_LEVEL_INFO, event,
+			 "\"bytes\":%zu,\"items\":%zu,\"revision\":%llu,"
+			 "\"from\":\"%.*s\",\"origin\":\"%.*s\","
+			 "\"sent_to\":%zu",
+			 bytes, m->nitems, (unsigned long long)revision,
+			 STR_ARG(m->from), STR_ARG(m->origin), hosts);
+}
+
 static bool is_recent(const edge_t *e, usec_t age)
 {
 	return age >= 0 && age <= edge_apply_share(e, SILENT_SHARE);
@@ -132,12 +150,15 @@
 		return;
 	}
 	fleet_state_changes_since(e->state, &reply, &mem);
-	if (fleet_may_reply(e->fleet, items_size(&reply), now))
+	if (fleet_may_reply(e->fleet, items_size(&reply), now)) {
 		send_to_host(e, m->from, &reply, now);
+		log_large_change("change requested", &reply, reply.revision, 1);
+	}
 	arena_free(&mem);
 }
 
-static void relay(edge_t *e, const fleet_msg_t *m, usec_t now)
+/* Returns the number of hosts to which the message was sent. */
+static size_t relay(edge_t *e, const fleet_msg_t *m, usec_t now)
 {
 	fleet_msg_t copy = *m;
 	str_t to[MAX_FOLLOWERS];
@@ -146,13 +167,17 @@
 
 	if (n)
 		send_to_hosts(e, to, n, &copy, m->revision, now);
+	return n;
 }
 
 static void on_state_update(edge_t *e, const fleet_msg_t *m, usec_t now)
 {
+	size_t hosts = 0;
+
 	/* Relay first: applying a large configuration takes time. */
 	if (m->origin.sz && m->revision > fleet_state_revision(e->state))
-		relay(e, m, now);
+		hosts = relay(e, m, now);
+	log_large_change("change received", m, m->revision, hosts);
 	/* Must precede the items: if they delete a server, the time of the
 	 * registry's return decides whether the server's lease may have expired
 	 * during the outage. */
@@ -306,6 +331,7 @@
 		n = fleet_relay_targets(e->fleet, m.origin, to, MAX_FOLLOWERS,
 					now);
 		send_to_hosts(e, to, n, &m, revision, now);
+		log_large_change("change read", &m, revision, n);
 		m = confirmation;
 		revision = since_revision;
 	}
--- a/daemon/edge_state.c
+++ b/daemon/edge_state.c
@@ -15,16 +15,24 @@
 static void apply_config(edge_t *e, const fleet_item_t *it)
 {
 	char fault[OUTSIDE_FAULT_MAX] = "";
+	usec_t began = clock_now();
 	rt_conf_t *c;
 
 	/* The last configuration stays in force when the key is deleted. */
 	if (it->deleted)
 		return;
 	c = e->protocol->read_config(it->value, fault);
-	if (c)
-		rt_set_conf(e->rt, c, clock_now());
-	else
+	if (!c) {
 		log_bad_item(it, fault);
+		return;
+	}
+	log_json(G_LOG_LEVEL_INFO, "configuration read",
+		 "\"version\":%llu,\"revision\":%llu,\"bytes\":%zu,"
+		 "\"us\":%lld",
+		 (unsigned long long)c->revision,
+		 (unsigned long long)it->revision, it->value.sz,
+		 (long long)(clock_now() - began));
+	rt_set_conf(e->rt, c, clock_now());
 }
 
 static void apply_server(edge_t *e, const fleet_item_t *it, str_t id,
