Tests: a configuration of 1,400 routes on links of 14 Mbit/s, known red

All hosts must have it before one that waits requests it again (a fifth of apply_limit_ms), or the copies double the load on the links.

--- a/tests/unit_relay.c
+++ b/tests/unit_relay.c
@@ -5,6 +5,7 @@
  * saturate the link of any host.
  */
 #include <CUnit/CUnit.h>
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,8 +16,7 @@
 #define MAX_HOSTS 120
 #define START (100 * USEC_PER_SEC)
 #define APPLY_TIME (5 * USEC_PER_SEC)
-/* 20 Mbit/s, the slowest link of a host. */
-#define LINK_BYTES_PER_SEC 2500000
+#define MBIT (1000000 / 8) /* bytes a second */
 /* Limit of the time that bytes spend at a link, queued and in transfer. */
 #define MAX_LINK_WAIT (USEC_PER_SEC / 2)
 /* As in daemon/edge_peer.c. */
@@ -27,6 +27,7 @@
 /* A simulated data centre; host 0 reads the registry. */
 typedef struct dc {
 	size_t n;
+	usec_t link; /* bytes a second of a host's link */
 	fleet_t *f[MAX_HOSTS];
 	char addr[MAX_HOSTS][32];
 	bool dead[MAX_HOSTS]; /* stopped; the other hosts do not know it yet */
@@ -37,12 +38,13 @@
 			    in transfer */
 } dc_t;
 
-static dc_t *dc_new(size_t n, usec_t now)
+static dc_t *dc_new(size_t n, usec_t link, usec_t now)
 {
 	dc_t *d = xcalloc(1, sizeof(*d));
 	size_t i, j;
 
 	d->n = n;
+	d->link = link;
 	for (i = 0; i < n; i++) {
 		fleet_params_t p = { .dc = STR("a"),
 				     .initial_hosts = (unsigned)n,
@@ -88,8 +90,7 @@
 		       usec_t now)
 {
 	size_t to = host_index(d, addr);
-	usec_t transfer_time =
-		(usec_t)bytes * USEC_PER_SEC / LINK_BYTES_PER_SEC;
+	usec_t transfer_time = (usec_t)bytes * USEC_PER_SEC / d->link;
 
 	if (d->link_free_at[from] < now)
 		d->link_free_at[from] = now;
@@ -178,32 +179,83 @@
 	return false;
 }
 
+/* Writes random lower-case letters. */
+static const char *random_name(char name[9], rng_t *rng)
+{
+	size_t i;
+
+	for (i = 0; i < 8; i++)
+		name[i] = (char)('a' + rng_below(rng, 26));
+	name[i] = '\0';
+	return name;
+}
+
+/* Bytes of the message that carries a configuration with so many routes, each
+ * with names of its own. */
+static size_t message_bytes(size_t routes)
+{
+	GString *conf = g_string_new("{\"version\":7,\"routes\":[");
+	fleet_item_t item = { .key = STR("config"), .revision = NEW_REVISION };
+	fleet_msg_t m = { .kind = FLEET_STATE_UPDATE,
+			  .from = STR("10.0.0.1:1"),
+			  .dc = STR("a"),
+			  .items = &item,
+			  .nitems = 1 };
+	char name[9], host[9], prefix[9], service[9], *bytes;
+	rng_t rng = { 1 };
+	size_t i, sz;
+
+	for (i = 0; i < routes; i++)
+		g_string_append_printf(
+			conf,
+			"{\"name\":\"r-%s\",\"host\":\"%s.example\","
+			"\"prefix\":\"/%s/\",\"routeType\":\"idempotent\","
+			"\"timeoutMs\":1500,\"targetLatencyMs\":250,"
+			"\"priority\":2,\"service\":\"%s\","
+			"\"maxAttempts\":2},",
+			random_name(name, &rng), random_name(host, &rng),
+			random_name(prefix, &rng), random_name(service, &rng));
+	item.value = (str_t){ conf->str, conf->len };
+	bytes = fleet_encode(&m, &sz);
+	free(bytes);
+	g_string_free(conf, TRUE);
+	return sz;
+}
+
 static void test_large_change(void)
 {
 	static const struct {
 		size_t hosts;
 		size_t bytes;
-		size_t dead;  /* hosts that have just stopped */
-		usec_t limit; /* time until all hosts have the change */
+		size_t dead;   /* hosts that have just stopped */
+		usec_t limit;  /* time until all hosts have the change */
+		usec_t link;   /* bytes a second */
+		size_t routes; /* of the configuration, in place of bytes */
 	} cases[] = {
-		{ 33, 300, 0, USEC_PER_SEC / 5 },
-		{ 33, 12000, 0, USEC_PER_SEC / 5 },
-		{ 33, 194392, 0, USEC_PER_SEC },
-		{ 33, 194392, 3, APPLY_TIME },
-		{ 15, 194392, 0, USEC_PER_SEC },
-		{ 120, 194392, 0, 3 * USEC_PER_SEC / 2 },
-		{ 120, 194392, 12, APPLY_TIME },
-		{ 7, 194392, 1, APPLY_TIME },
+		{ 33, 300, 0, USEC_PER_SEC / 5, 20 * MBIT, 0 },
+		{ 33, 12000, 0, USEC_PER_SEC / 5, 20 * MBIT, 0 },
+		{ 33, 194392, 0, USEC_PER_SEC, 20 * MBIT, 0 },
+		{ 33, 194392, 3, APPLY_TIME, 20 * MBIT, 0 },
+		{ 15, 194392, 0, USEC_PER_SEC, 20 * MBIT, 0 },
+		{ 120, 194392, 0, 3 * USEC_PER_SEC / 2, 20 * MBIT, 0 },
+		{ 120, 194392, 12, APPLY_TIME, 20 * MBIT, 0 },
+		{ 7, 194392, 1, APPLY_TIME, 20 * MBIT, 0 },
+		/* A host that is behind requests the change after a fifth of
+		 * APPLY_TIME: later copies double the load on the links. */
+		{ 36, 0, 0, APPLY_TIME / 5, 14 * MBIT, 1400 },
+		{ 36, 0, 0, APPLY_TIME / 5, 14 * MBIT, 4000 },
 	};
 	size_t i, k;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		dc_t *d = dc_new(cases[i].hosts, START);
+		dc_t *d = dc_new(cases[i].hosts, cases[i].link, START);
+		size_t bytes = cases[i].routes ? message_bytes(cases[i].routes)
+					       : cases[i].bytes;
 		usec_t last = START;
 
 		for (k = 0; k < cases[i].dead; k++)
 			d->dead[1 + k * (d->n / (cases[i].dead + 1))] = true;
-		CU_ASSERT(run(d, cases[i].bytes));
+		CU_ASSERT(run(d, bytes));
 		for (k = 0; k < d->n; k++)
 			if (d->arrives_at[k] > last)
 				last = d->arrives_at[k];
@@ -237,7 +289,7 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		dc_t *d = dc_new(cases[i].hosts, START);
+		dc_t *d = dc_new(cases[i].hosts, 20 * MBIT, START);
 		fleet_msg_t m = { .kind = FLEET_HELLO };
 		usec_t now = START;
 
