Fleet: the host that reads a large change makes the tree that forwards it

Each host computed its place in the tree from the members that it knew to be alive, and a fleet of 106 hosts has no two hosts with the same list: a message lists 16 members, so some that run are not heard of within the 9 s after which they count as down. One member more or less shifts all places behind it: some hosts got two copies, others none, and these requested the change only after 1 s, from hosts whose links were busy. For the same reason some got no confirmations, took over, read the change themselves and sent it along a second tree.

Each message now lists the hosts below its receiver, and the reader makes the whole tree, from all members that it knows, those heard from most recently first, so that a host that is down is a leaf. Changes and confirmations go to all known members too.

--- a/daemon/edge_peer.c
+++ b/daemon/edge_peer.c
@@ -4,12 +4,13 @@
  * state from daemons that read the registry to those that don't or can't.
  */
 #include <stdlib.h>
+#include <string.h>
 
 #include "libedge.h"
 
 #define POLL_MS 250  /* period of on_poll() */
 #define MAX_HELLOS 8 /* per poll */
-#define MAX_FOLLOWERS 256
+#define MAX_FOLLOWERS FLEET_MAX_RELAY
 #define REFUSED_LOG_PERIOD USEC_PER_SEC
 /* Allows several requests in the time in which changes must be in force. */
 #define CHANGES_REQUEST_PERIOD (400 * USEC_PER_MSEC)
@@ -160,19 +161,34 @@
 	arena_free(&mem);
 }
 
-/* Returns the number of hosts to which the message was sent. */
-static size_t relay(edge_t *e, const fleet_msg_t *m, usec_t now)
+/* Sends a change to some of the hosts, each of which forwards it to a part of
+ * the others. Returns the number of hosts to which it was sent. */
+static size_t send_branches(edge_t *e, const fleet_msg_t *m, str_t *hosts,
+			    size_t n, uint64_t revision, usec_t now)
 {
+	fleet_branch_t branches[FLEET_RELAY_FANOUT];
 	fleet_msg_t copy = *m;
-	str_t to[MAX_FOLLOWERS];
-	size_t n = fleet_relay_targets(e->fleet, m->origin, to, MAX_FOLLOWERS,
-				       now);
+	size_t i;
 
-	if (n)
-		send_to_hosts(e, to, n, &copy, m->revision, now);
+	n = fleet_relay_split(hosts, n, branches);
+	for (i = 0; i < n; i++) {
+		copy.relay_to = branches[i].rest;
+		copy.nrelay_to = branches[i].nrest;
+		send_to_hosts(e, &branches[i].to, 1, &copy, revision, now);
+	}
 	return n;
 }
 
+/* Returns the number of hosts to which the message was sent. */
+static size_t relay(edge_t *e, const fleet_msg_t *m, usec_t now)
+{
+	str_t hosts[FLEET_MAX_RELAY];
+
+	if (m->nrelay_to)
+		memcpy(hosts, m->relay_to, m->nrelay_to * sizeof(*hosts));
+	return send_branches(e, m, hosts, m->nrelay_to, m->revision, now);
+}
+
 static void on_state_update(edge_t *e, const fleet_msg_t *m, usec_t now)
 {
 	size_t hosts = 0;
@@ -330,17 +346,15 @@
 
 	fleet_state_changes_since(e->state, &m, &mem);
 	fleet_pack_items(&m, &mem);
-	if (fleet_should_relay(e->fleet, m.packed.sz, now)) {
+	n = fleet_followers(e->fleet, to, MAX_FOLLOWERS);
+	if (fleet_should_relay(n, m.packed.sz)) {
+		send_to_hosts(e, to, n, &confirmation, since_revision, now);
 		m.origin = str_of(e->settings->peer);
-		n = fleet_relay_targets(e->fleet, m.origin, to, MAX_FOLLOWERS,
-					now);
+		n = send_branches(e, &m, to, n, revision, now);
+	} else {
 		send_to_hosts(e, to, n, &m, revision, now);
-		log_large_change("change read", &m, revision, n);
-		m = confirmation;
-		revision = since_revision;
 	}
-	n = fleet_followers(e->fleet, to, MAX_FOLLOWERS, now);
-	send_to_hosts(e, to, n, &m, revision, now);
+	log_large_change("change read", &m, revision, n);
 	arena_free(&mem);
 }
 
@@ -358,7 +372,7 @@
 {
 	usec_t now = clock_now();
 	str_t to[MAX_FOLLOWERS];
-	size_t n = fleet_followers(e->fleet, to, MAX_FOLLOWERS, now);
+	size_t n = fleet_followers(e->fleet, to, MAX_FOLLOWERS);
 
 	send_to_hosts(e, to, n, m, fleet_state_revision(e->state), now);
 }
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -13,6 +13,9 @@
 /** Scale of fractions in messages: thousandths. */
 #define FLEET_FRACTION_SCALE 1000.0
 #define FLEET_MAX_MSG_MEMBERS 16 /**< members listed in one message */
+#define FLEET_MAX_RELAY 512	 /**< hosts that one message is forwarded to */
+/** Hosts to which a host forwards a change itself. */
+#define FLEET_RELAY_FANOUT 3
 
 /** A published key with its last change. */
 typedef struct fleet_item {
@@ -77,7 +80,10 @@
 	 * the registry, if receivers forward the message; else empty.
 	 */
 	str_t origin;
-	str_t server; /**< FLEET_SERVER_PACE: id of the server */
+	/** FLEET_STATE_UPDATE: the hosts that the receiver forwards it to. */
+	const str_t *relay_to;
+	size_t nrelay_to; /**< up to FLEET_MAX_RELAY */
+	str_t server;	  /**< FLEET_SERVER_PACE: id of the server */
 	/**
 	 * FLEET_SERVER_PACE: latency relative to the mean of the route,
 	 * thousandths.
@@ -246,23 +252,30 @@
 /** Returns the time of the next gossip round. */
 usec_t fleet_next_gossip_at(const fleet_t *f);
 /**
- * Lists the followers, to which changes are sent: the members of the own data
- * centre that are alive. Writes at most max addresses, which are borrowed from
- * f, and returns their number.
+ * Lists the followers, to which changes are sent: the known members of the own
+ * data centre, those that were heard from most recently first. Writes at most
+ * max addresses, which are borrowed from f, and returns their number.
  */
-size_t fleet_followers(const fleet_t *f, str_t *to, size_t max, usec_t now);
+size_t fleet_followers(const fleet_t *f, str_t *to, size_t max);
 /**
  * Returns whether a change of this many bytes is forwarded from host to host
- * instead of being sent to each host by the reader.
+ * instead of being sent to each of so many hosts by the reader.
  */
-bool fleet_should_relay(const fleet_t *f, size_t bytes, usec_t now);
+bool fleet_should_relay(size_t hosts, size_t bytes);
+
+/** A host to which a change is sent, and those to which it forwards it. */
+typedef struct fleet_branch {
+	str_t to;
+	str_t *rest; /**< part of the array given to fleet_relay_split() */
+	size_t nrest;
+} fleet_branch_t;
+
 /**
- * Lists the daemons to which this daemon forwards a change that origin read
- * from the registry. Writes at most max addresses, which are borrowed from f,
- * and returns their number; 0 if origin is not a known member.
+ * Divides hosts, the most reliable ones first, into branches. Changes the order
+ * of the array, from which the branches borrow. Returns their number.
  */
-size_t fleet_relay_targets(const fleet_t *f, str_t origin, str_t *to,
-			   size_t max, usec_t now);
+size_t fleet_relay_split(str_t *hosts, size_t n,
+			 fleet_branch_t branches[FLEET_RELAY_FANOUT]);
 /**
  * Returns whether a FLEET_STATE_REQUEST may be answered with this many bytes
  * now, and counts them if so. Many hosts may send requests at once; a host
--- a/fleet/fleet_member.c
+++ b/fleet/fleet_member.c
@@ -351,14 +351,33 @@
 	return f->next_gossip_at;
 }
 
-size_t fleet_followers(const fleet_t *f, str_t *to, size_t max, usec_t now)
+static int by_last_seen(const void *a, const void *b)
 {
+	const fleet_member_t *x = *(const fleet_member_t *const *)a;
+	const fleet_member_t *y = *(const fleet_member_t *const *)b;
+
+	if (x->last_seen_at != y->last_seen_at)
+		return x->last_seen_at > y->last_seen_at ? -1 : 1;
+	return str_cmp(x->addr, y->addr);
+}
+
+/* A message lists FLEET_MAX_MSG_MEMBERS members. In a fleet of a hundred hosts
+ * some that run are not heard of within ALIVE_TIMEOUT; without the changes and
+ * confirmations they would take over. */
+size_t fleet_followers(const fleet_t *f, str_t *to, size_t max)
+{
+	const fleet_member_t **v = xcalloc(f->nmembers, sizeof(*v));
 	size_t n = 0, i;
 
-	for (i = 0; i < f->nmembers && n < max; i++)
-		if (fleet_member_alive(&f->members[i], now) &&
-		    str_eq(f->members[i].dc, f->dc))
-			to[n++] = f->members[i].addr;
+	for (i = 0; i < f->nmembers; i++)
+		if (str_eq(f->members[i].dc, f->dc))
+			v[n++] = &f->members[i];
+	qsort(v, n, sizeof(*v), by_last_seen);
+	if (n > max)
+		n = max;
+	for (i = 0; i < n; i++)
+		to[i] = v[i]->addr;
+	free(v);
 	return n;
 }
 
--- a/fleet/fleet_relay.c
+++ b/fleet/fleet_relay.c
@@ -2,9 +2,13 @@
  * @file fleet_relay.c
  * Distribution of a large change in a data centre: hosts forward it along a
  * tree, so that no host has to send it to all others. Intended for a
- * configuration of many routes on hosts with slow links.
+ * configuration of many routes on hosts with slow links. The host that read the
+ * change makes the whole tree: each message lists the hosts below its receiver.
+ * A tree that each host computes from the members that it knows leaves out
+ * hosts, since in a large fleet no two hosts know the same ones.
  */
 #include <stdlib.h>
+#include <string.h>
 
 #include "libfleet.h"
 
@@ -12,82 +16,34 @@
  * limit of the replies in a REPLY_PERIOD. Sending so many bytes takes a fifth
  * of a second on a link of 20 Mbit/s, the slowest link of a host. */
 #define DIRECT_MAX_BYTES 500000
-/* Children of a host in the tree. Sending 200 KB to three hosts takes a quarter
- * of a second on such a link; a tree of 120 hosts has four levels below the
- * root. */
-#define RELAY_FANOUT 3
 
 /* A host that is behind and gets no reply sends its next request, to another
  * host, after this time. */
 #define REPLY_PERIOD (400 * USEC_PER_MSEC)
 
-typedef struct ranked_host {
-	uint64_t rank;
-	str_t addr;
-} ranked_host_t;
-
-static int by_rank(const void *a, const void *b)
-{
-	const ranked_host_t *x = a, *y = b;
-
-	if (x->rank != y->rank)
-		return x->rank < y->rank ? -1 : 1;
-	return str_cmp(x->addr, y->addr);
-}
-
-/* Lists the alive hosts of the own data centre, this one included, by rank. The
- * order is the same on all hosts that know the same members. */
-static size_t hosts_by_rank(const fleet_t *f, ranked_host_t *v, usec_t now)
+bool fleet_should_relay(size_t hosts, size_t bytes)
 {
-	size_t n = 0, i;
-
-	for (i = 0; i < f->nmembers; i++)
-		if (fleet_member_alive(&f->members[i], now) &&
-		    str_eq(f->members[i].dc, f->dc))
-			v[n++] = (ranked_host_t){ f->members[i].rank,
-						  f->members[i].addr };
-	v[n++] = (ranked_host_t){ fleet_rank(f->addr), f->addr };
-	qsort(v, n, sizeof(*v), by_rank);
-	return n;
+	return hosts * bytes > DIRECT_MAX_BYTES;
 }
 
-static size_t index_of(const ranked_host_t *v, size_t n, str_t addr)
+size_t fleet_relay_split(str_t *hosts, size_t n,
+			 fleet_branch_t branches[FLEET_RELAY_FANOUT])
 {
-	size_t i;
-
-	for (i = 0; i < n && !str_eq(v[i].addr, addr); i++)
-		;
-	return i;
-}
-
-bool fleet_should_relay(const fleet_t *f, size_t bytes, usec_t now)
-{
-	size_t lower_ranked;
-
-	return fleet_dc_peers(f, &lower_ranked, now) * bytes > DIRECT_MAX_BYTES;
-}
-
-size_t fleet_relay_targets(const fleet_t *f, str_t origin, str_t *to,
-			   size_t max, usec_t now)
-{
-	ranked_host_t *v = xcalloc(f->nmembers + 1, sizeof(*v));
-	size_t nhosts = hosts_by_rank(f, v, now);
-	size_t root = index_of(v, nhosts, origin);
-	size_t own = index_of(v, nhosts, f->addr);
-	size_t n = 0, child;
-
-	/* The origin is the root of the tree. If it is unknown, nothing is
-	 * forwarded, and hosts that are behind request the change. */
-	if (root < nhosts) {
-		own = (own + nhosts - root) % nhosts;
-		for (child = own * RELAY_FANOUT + 1;
-		     child <= own * RELAY_FANOUT + RELAY_FANOUT &&
-		     child < nhosts && n < max;
-		     child++)
-			to[n++] = v[(root + child) % nhosts].addr;
+	size_t nbranches = n < FLEET_RELAY_FANOUT ? n : FLEET_RELAY_FANOUT;
+	str_t *sorted = xcalloc(n, sizeof(*sorted));
+	size_t at = nbranches, i, k;
+
+	/* Host k goes to branch k modulo the number of branches: those that may
+	 * be down, the last ones, become leaves. */
+	memcpy(sorted, hosts, n * sizeof(*sorted));
+	for (i = 0; i < nbranches; i++) {
+		branches[i] = (fleet_branch_t){ sorted[i], hosts + at, 0 };
+		for (k = i + nbranches; k < n; k += nbranches)
+			hosts[at + branches[i].nrest++] = sorted[k];
+		at += branches[i].nrest;
 	}
-	free(v);
-	return n;
+	free(sorted);
+	return nbranches;
 }
 
 bool fleet_may_reply(fleet_t *f, size_t bytes, usec_t now)
--- a/fleet/fleet_wire.c
+++ b/fleet/fleet_wire.c
@@ -3,10 +3,11 @@
  * Encoding of messages as one msgpack array: version, kind, sender and its data
  * centre, revision, age of the last read, time since the end of a registry
  * outage, since_revision combined with complete, id, pace and failures of a
- * server, members, items, the daemon that read the items from the registry, and
- * the size of the items before compression. The items are a msgpack array of
- * their own, compressed as an LZ4 block: a configuration of many routes becomes
- * a fifth, and takes that much less time on the links of hosts that forward it.
+ * server, members, items, the daemon that read the items from the registry, the
+ * size of the items before compression, and the hosts to forward the message
+ * to. The items are a msgpack array of their own, compressed as an LZ4 block: a
+ * configuration of many routes becomes a fifth, and takes that much less time
+ * on the links of hosts that forward it.
  */
 #include <lz4.h>
 #include <msgpack.h>
@@ -17,7 +18,7 @@
 #include "wire.h"
 
 #define MSG_VERSION 4
-#define MSG_FIELDS 15 /* elements of the outer array */
+#define MSG_FIELDS 16 /* elements of the outer array */
 #define MSG_MAX_ITEMS 100000
 #define ITEM_FIELDS 4
 /* Shorter items gain nothing. */
@@ -91,6 +92,7 @@
 	msgpack_packer pk;
 	fleet_msg_t items = *m;
 	arena_t mem = { 0 };
+	size_t i;
 
 	if (items.packed.sz == 0)
 		fleet_pack_items(&items, &mem);
@@ -112,6 +114,9 @@
 	pack_str(&pk, items.packed);
 	pack_str(&pk, m->origin);
 	msgpack_pack_uint64(&pk, items.packed_raw_sz);
+	msgpack_pack_array(&pk, m->nrelay_to);
+	for (i = 0; i < m->nrelay_to; i++)
+		pack_str(&pk, m->relay_to[i]);
 	arena_free(&mem);
 	*sz = buf.size;
 	return msgpack_sbuffer_release(&buf);
@@ -165,6 +170,22 @@
 	return true;
 }
 
+static bool get_relay(const msgpack_object *o, fleet_msg_t *m, arena_t *mem)
+{
+	str_t *to;
+	size_t i;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY ||
+	    o->via.array.size > FLEET_MAX_RELAY)
+		return false;
+	m->nrelay_to = o->via.array.size;
+	m->relay_to = to = arena_alloc(mem, m->nrelay_to * sizeof(*to));
+	for (i = 0; i < m->nrelay_to; i++)
+		if (!get_str(&o->via.array.ptr[i], &to[i], mem))
+			return false;
+	return true;
+}
+
 /* Reads the items; their strings are borrowed from the array's text. */
 static bool get_items(const msgpack_object *o, fleet_msg_t *m, arena_t *mem)
 {
@@ -253,7 +274,8 @@
 	if (!get_str(&at[8], &m->server, mem) || !get_u64(&at[9], &m->pace) ||
 	    !get_u64(&at[10], &m->failing) || !get_members(&at[11], m, mem) ||
 	    at[12].type != MSGPACK_OBJECT_BIN ||
-	    !get_str(&at[13], &m->origin, mem) || !get_u64(&at[14], &raw_sz))
+	    !get_str(&at[13], &m->origin, mem) || !get_u64(&at[14], &raw_sz) ||
+	    !get_relay(&at[15], m, mem))
 		return false;
 	m->packed = (str_t){ at[12].via.bin.ptr, at[12].via.bin.size };
 	m->packed_raw_sz = raw_sz;
--- a/tests/unit_relay.c
+++ b/tests/unit_relay.c
@@ -34,13 +34,18 @@
 	usec_t arrives_at[MAX_HOSTS];	/* when the change arrives; 0: not sent
 					   yet */
 	usec_t link_free_at[MAX_HOSTS]; /* when the link becomes free */
+	str_t below[MAX_HOSTS][MAX_HOSTS]; /* hosts to which it is forwarded */
+	size_t nbelow[MAX_HOSTS];
 	usec_t max_wait; /* longest time that bytes spent at a link, queued and
 			    in transfer */
 } dc_t;
 
-static dc_t *dc_new(size_t n, usec_t link, usec_t now)
+/* max_age: how long ago a host heard from another, at most. */
+static dc_t *dc_new(size_t n, usec_t link, usec_t max_age, usec_t now)
 {
 	dc_t *d = xcalloc(1, sizeof(*d));
+	rng_t rng = { 7 };
+	usec_t at;
 	size_t i, j;
 
 	d->n = n;
@@ -59,10 +64,11 @@
 		for (j = 0; j < n; j++) {
 			fleet_msg_t m = { .kind = FLEET_HELLO };
 
-			fleet_fill_message(d->f[j], &m, OLD_REVISION, now);
+			at = now -
+			     (usec_t)rng_below(&rng, (uint64_t)max_age + 1);
+			fleet_fill_message(d->f[j], &m, OLD_REVISION, at);
 			if (i != j)
-				fleet_on_message(d->f[i], &m, OLD_REVISION,
-						 now);
+				fleet_on_message(d->f[i], &m, OLD_REVISION, at);
 		}
 	return d;
 }
@@ -85,11 +91,12 @@
 	return i;
 }
 
-/* Sends the change over the link of a host. */
-static void send_bytes(dc_t *d, size_t from, str_t addr, size_t bytes,
-		       usec_t now)
+/* Sends the change over the link of a host; the receiver forwards it to the
+ * hosts below it. */
+static void send_bytes(dc_t *d, size_t from, const fleet_branch_t *b,
+		       size_t bytes, usec_t now)
 {
-	size_t to = host_index(d, addr);
+	size_t to = host_index(d, b->to);
 	usec_t transfer_time = (usec_t)bytes * USEC_PER_SEC / d->link;
 
 	if (d->link_free_at[from] < now)
@@ -97,25 +104,35 @@
 	d->link_free_at[from] += transfer_time;
 	if (d->link_free_at[from] - now > d->max_wait)
 		d->max_wait = d->link_free_at[from] - now;
-	if (!d->dead[to] &&
-	    (!d->arrives_at[to] || d->link_free_at[from] < d->arrives_at[to]))
-		d->arrives_at[to] = d->link_free_at[from];
+	if (d->dead[to] ||
+	    (d->arrives_at[to] && d->link_free_at[from] >= d->arrives_at[to]))
+		return;
+	d->arrives_at[to] = d->link_free_at[from];
+	d->nbelow[to] = b->nrest;
+	if (b->nrest)
+		memcpy(d->below[to], b->rest, b->nrest * sizeof(*b->rest));
 }
 
 /* Sends the change on from the host that read it or that received it. */
 static void send_change(dc_t *d, size_t from, size_t bytes, usec_t now)
 {
+	fleet_branch_t branches[FLEET_RELAY_FANOUT];
 	str_t to[MAX_HOSTS];
 	size_t n, i;
 
-	if (fleet_should_relay(d->f[from], bytes, now))
-		n = fleet_relay_targets(d->f[from], str_of(d->addr[0]), to,
-					MAX_HOSTS, now);
+	if (from == 0)
+		n = fleet_followers(d->f[0], to, MAX_HOSTS);
 	else
-		n = from == 0 ? fleet_followers(d->f[from], to, MAX_HOSTS, now)
-			      : 0;
+		memcpy(to, d->below[from], (n = d->nbelow[from]) * sizeof(*to));
+	if (from == 0 && !fleet_should_relay(n, bytes)) {
+		for (i = 0; i < n; i++)
+			send_bytes(d, 0, &(fleet_branch_t){ .to = to[i] },
+				   bytes, now);
+		return;
+	}
+	n = fleet_relay_split(to, n, branches);
 	for (i = 0; i < n; i++)
-		send_bytes(d, from, to[i], bytes, now);
+		send_bytes(d, from, &branches[i], bytes, now);
 }
 
 /* The reader reports its revision to all hosts. Hosts that are behind request
@@ -146,7 +163,10 @@
 		k = host_index(d, to);
 		if (to.sz && !d->dead[k] &&
 		    fleet_may_reply(d->f[k], bytes, now))
-			send_bytes(d, k, str_of(d->addr[i]), bytes, now);
+			send_bytes(
+				d, k,
+				&(fleet_branch_t){ .to = str_of(d->addr[i]) },
+				bytes, now);
 	}
 }
 
@@ -227,28 +247,35 @@
 	static const struct {
 		size_t hosts;
 		size_t bytes;
-		size_t dead;   /* hosts that have just stopped */
-		usec_t limit;  /* time until all hosts have the change */
-		usec_t link;   /* bytes a second */
-		size_t routes; /* of the configuration, in place of bytes */
+		size_t dead;	/* hosts that have just stopped */
+		usec_t limit;	/* time until all hosts have the change */
+		usec_t link;	/* bytes a second */
+		size_t routes;	/* of the configuration, in place of bytes */
+		usec_t max_age; /* since hosts heard of each other */
 	} cases[] = {
-		{ 33, 300, 0, USEC_PER_SEC / 5, 20 * MBIT, 0 },
-		{ 33, 12000, 0, USEC_PER_SEC / 5, 20 * MBIT, 0 },
-		{ 33, 194392, 0, USEC_PER_SEC, 20 * MBIT, 0 },
-		{ 33, 194392, 3, APPLY_TIME, 20 * MBIT, 0 },
-		{ 15, 194392, 0, USEC_PER_SEC, 20 * MBIT, 0 },
-		{ 120, 194392, 0, 3 * USEC_PER_SEC / 2, 20 * MBIT, 0 },
-		{ 120, 194392, 12, APPLY_TIME, 20 * MBIT, 0 },
-		{ 7, 194392, 1, APPLY_TIME, 20 * MBIT, 0 },
+		{ 33, 300, 0, USEC_PER_SEC / 5, 20 * MBIT, 0, 0 },
+		{ 33, 12000, 0, USEC_PER_SEC / 5, 20 * MBIT, 0, 0 },
+		{ 33, 194392, 0, USEC_PER_SEC, 20 * MBIT, 0, 0 },
+		{ 33, 194392, 3, APPLY_TIME, 20 * MBIT, 0, 0 },
+		{ 15, 194392, 0, USEC_PER_SEC, 20 * MBIT, 0, 0 },
+		{ 120, 194392, 0, 3 * USEC_PER_SEC / 2, 20 * MBIT, 0, 0 },
+		{ 120, 194392, 12, APPLY_TIME, 20 * MBIT, 0, 0 },
+		{ 7, 194392, 1, APPLY_TIME, 20 * MBIT, 0, 0 },
 		/* A host that is behind requests the change after a fifth of
 		 * APPLY_TIME: later copies double the load on the links. */
-		{ 36, 0, 0, APPLY_TIME / 5, 14 * MBIT, 1400 },
-		{ 36, 0, 0, APPLY_TIME / 5, 14 * MBIT, 4000 },
+		{ 36, 0, 0, APPLY_TIME / 5, 14 * MBIT, 1400, 0 },
+		{ 36, 0, 0, APPLY_TIME / 5, 14 * MBIT, 4000, 0 },
+		/* In a large fleet some hosts do not hear of others for 9 s,
+		 * after which these count as down. */
+		{ 36, 0, 0, APPLY_TIME / 5, 14 * MBIT, 1400,
+		  12 * USEC_PER_SEC },
+		{ 120, 0, 12, APPLY_TIME, 14 * MBIT, 1400, 12 * USEC_PER_SEC },
 	};
 	size_t i, k;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		dc_t *d = dc_new(cases[i].hosts, cases[i].link, START);
+		dc_t *d = dc_new(cases[i].hosts, cases[i].link,
+				 cases[i].max_age, START);
 		size_t bytes = cases[i].routes ? message_bytes(cases[i].routes)
 					       : cases[i].bytes;
 		usec_t last = START;
@@ -289,7 +316,7 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		dc_t *d = dc_new(cases[i].hosts, 20 * MBIT, START);
+		dc_t *d = dc_new(cases[i].hosts, 20 * MBIT, 0, START);
 		fleet_msg_t m = { .kind = FLEET_HELLO };
 		usec_t now = START;
 
