--- a/conf/conf_member.c
+++ b/conf/conf_member.c
@@ -1,15 +1,6 @@
 /** @file conf_member.c Type-checked access to members of JSON objects. */
 #include "member.h"
-
-/* Skips a string; p is after its opening quote. Returns the position of the
- * closing quote, or end. */
-static const char *skip_string(const char *p, const char *end)
-{
-	for (; p < end && *p != '"'; p++)
-		if (*p == '\\' && p + 1 < end)
-			p++;
-	return p;
-}
+#include "slice.h"
 
 static bool is_too_deep(str_t text)
 {
@@ -18,7 +9,7 @@
 
 	for (; p < end; p++) {
 		if (*p == '"')
-			p = skip_string(p + 1, end);
+			p = slice_string_end(p + 1, end);
 		else if (*p == '[' || *p == '{')
 			depth++;
 		else if ((*p == ']' || *p == '}') && depth)
--- a/conf/conf_slice.c
+++ b/conf/conf_slice.c
@@ -25,11 +25,30 @@
 	return true;
 }
 
+const char *slice_string_end(const char *p, const char *end)
+{
+	const char *quote = memchr(p, '"', (size_t)(end - p));
+	const char *escape;
+
+	/* Each byte is searched once for either character: the writer chooses
+	 * how many escapes there are. */
+	while (quote) {
+		escape = memchr(p, '\\', (size_t)(quote - p));
+		if (!escape)
+			return quote;
+		p = escape + 2;
+		if (p > quote)
+			quote = memchr(p, '"', (size_t)(end - p));
+	}
+	return end;
+}
+
 static bool skip_string(str_t *t)
 {
-	skip(t, 1);
-	while (t->sz && t->s[0] != '"')
-		skip(t, t->s[0] == '\\' && t->sz > 1 ? 2 : 1);
+	const char *end = t->s + t->sz;
+	const char *quote = slice_string_end(t->s + 1, end);
+
+	skip(t, (size_t)(quote - t->s));
 	if (t->sz == 0)
 		return false;
 	skip(t, 1);
--- a/conf/slice.h
+++ b/conf/slice.h
@@ -10,6 +10,11 @@
 
 #include "base.h"
 
+/**
+ * Finds the quote that ends a JSON string; p is after the one that begins it.
+ * Returns end if there is none.
+ */
+const char *slice_string_end(const char *p, const char *end);
 /**
  * Finds a member of a JSON object, the first one if there are several. Returns
  * false if there is none, or if the text before it isn't that of an object.
--- a/daemon/edge_peer.c
+++ b/daemon/edge_peer.c
@@ -193,8 +193,10 @@
 {
 	size_t hosts = 0;
 
-	/* Relay first: applying a large configuration takes time. */
-	if (m->origin.sz && m->revision > fleet_state_revision(e->state))
+	/* Relay first: applying a large configuration takes time. Also if the
+	 * change is known: where two hosts read it, a host below this one may
+	 * get it by neither tree otherwise. */
+	if (m->nrelay_to)
 		hosts = relay(e, m, now);
 	log_large_change("change received", m, m->revision, hosts);
 	/* Must precede the items: if they delete a server, the time of the
--- a/tests/edge_peer.c
+++ b/tests/edge_peer.c
@@ -373,6 +373,17 @@
 	}
 }
 
+/* Text that compression doesn't shorten by much. */
+static void random_letters(char *text, size_t sz, rng_t *rng)
+{
+	size_t i;
+
+	for (i = 0; i + 1 < sz; i++)
+		text[i] = (char)('A' + rng_below(rng, 26) +
+				 32 * rng_below(rng, 2));
+	text[i] = '\0';
+}
+
 /* A state that no datagram holds reaches a daemon that cannot read the
  * registry: guards against long messages that are not sent or not read, and
  * against datagrams that are too long for their receiver. */
@@ -380,7 +391,8 @@
 {
 	/* Messages of 6 KB, which IP could split, and of 600 KB. */
 	static const unsigned nkeys[] = { 2, 200 };
-	char key[32], *value = g_strnfill(3000, 'x');
+	char key[32], value[3001];
+	rng_t rng = { 3 };
 	world_daemon_t *d;
 	unsigned i, j;
 	setup_t r;
@@ -389,6 +401,7 @@
 		r = setup_new();
 		for (j = 0; j < nkeys[i]; j++) {
 			g_snprintf(key, sizeof(key), "other/%u", j);
+			random_letters(value, sizeof(value), &rng);
 			world_put(r.w, key, value);
 		}
 		world_run_loop(r.w, 500);
@@ -401,7 +414,51 @@
 			  0);
 		world_free(r.w);
 	}
-	g_free(value);
+}
+
+/* A daemon forwards a change to the hosts that the message lists, also one that
+ * it knows: guards against a host that gets a change by neither tree where two
+ * hosts read it. */
+static void test_forwarding(void)
+{
+	fleet_msg_t update = { .kind = FLEET_STATE_UPDATE };
+	fleet_msg_t m = { 0 };
+	fake_t reader = { 0 }, last = { 0 };
+	str_t below[1];
+	char buf[DATAGRAM_BYTES];
+	unsigned i, ms, forwarded;
+	arena_t mem = { 0 };
+	setup_t r = setup_new();
+	ssize_t n;
+
+	fake_open(&reader);
+	fake_open(&last);
+	below[0] = str_of(last.addr);
+	reader.revision = r.w->revision + 100;
+	update.since_revision = r.w->revision;
+	update.origin = str_of(reader.addr);
+	update.relay_to = below;
+	update.nrelay_to = 1;
+	for (i = 0; i < 2; i++) {
+		fake_send(&reader, r.d->peer, &update, true);
+		forwarded = 0;
+		for (ms = 0; ms < 1000 && !forwarded; ms += 50) {
+			world_run_loop(r.w, 50);
+			while ((n = recv(last.datagrams, buf, sizeof(buf), 0)) >
+			       0) {
+				forwarded += fleet_decode(buf, (size_t)n, &m,
+							  &mem) &&
+					     m.kind == FLEET_STATE_UPDATE &&
+					     m.revision == reader.revision &&
+					     m.nrelay_to == 0;
+				arena_free(&mem);
+			}
+		}
+		CU_ASSERT_EQUAL(forwarded, 1);
+	}
+	close(reader.datagrams);
+	close(last.datagrams);
+	world_free(r.w);
 }
 
 /* Daemons with the same transport and keys hear each other and serve; with
@@ -527,6 +584,7 @@
 	{ "bytes of peer messages", test_held_bytes },
 	{ "lost peer messages", test_lost },
 	{ "a long state from a neighbour", test_long_state },
+	{ "changes that are forwarded", test_forwarding },
 	{ "programs and transports", test_programs },
 	{ "settings of the other program", test_refused_settings },
 	{ NULL, NULL },
--- a/tests/unit_outside.c
+++ b/tests/unit_outside.c
@@ -466,6 +466,37 @@
 	arena_free(&mem);
 }
 
+/* Values with and without escapes, and such that aren't strings. */
+static void test_item_values(void)
+{
+	static const struct {
+		const char *json;
+		const char *value;
+	} cases[] = {
+		{ "\"aGk/Pz8=\"", "hi?\?\?" },
+		{ "\"aGk\\/Pz8=\"", "hi?\?\?" },
+		{ "\"aG\\u006b=\"", "hi" },
+		{ "\"\"", "" },
+		{ "7", "" },
+		{ "{\"a\":\"aGk=\"}", "" },
+	};
+	outside_items_t items;
+	arena_t mem = { 0 };
+	char text[160];
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		snprintf(text, sizeof(text),
+			 "{\"items\":[{\"key\":\"k\",\"value\":%s,"
+			 "\"revision\":5}],\"atRev\":9}",
+			 cases[i].json);
+		CU_ASSERT_FATAL(platform_protocol()->read_items(str_of(text),
+								&items, &mem));
+		CU_ASSERT(str_eq(items.v[0].value, str_of(cases[i].value)));
+		arena_free(&mem);
+	}
+}
+
 /* Counts a change as 1 and a deletion as 100. */
 static void on_changed(void *arg, const fleet_item_t *it)
 {
@@ -803,6 +834,7 @@
 		{ "server entries, own protocol", test_own_entries },
 		{ "configurations", test_configs },
 		{ "lists and changes of published state", test_items },
+		{ "values of items", test_item_values },
 		{ "old revisions don't replace newer state", test_state },
 		{ "encoding of fleet messages", test_fleet_wire },
 		{ "packed items", test_packed_items },
--- a/tests/unit_slice.c
+++ b/tests/unit_slice.c
@@ -1,5 +1,6 @@
 /** @file unit_slice.c Tests of JSON text that is split without being parsed. */
 #include <CUnit/CUnit.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -18,6 +19,10 @@
 		{ " { \"a\" : [1, {\"b\":3}] , \"b\" : \"x\" } ", "b",
 		  "\"x\"" },
 		{ "{\"a\":\"}\\\"{\",\"b\":{\"c\":[]}}", "b", "{\"c\":[]}" },
+		{ "{\"a\":\"\\\\\",\"b\":2}", "b", "2" },
+		{ "{\"a\":\"\\\\\\\"\",\"b\":2}", "b", "2" },
+		{ "{\"a\":\"\\\"", "b", NULL },
+		{ "{\"a\":\"\\", "b", NULL },
 		{ "{\"a\":\"b\",\"c\":true}", "b", NULL },
 		{ "{\"a\":99999999999999999999999,\"b\":1e999}", "b", "1e999" },
 		{ "{\"a\":[[[[,\"b\":2}", "b", NULL },
@@ -43,6 +48,29 @@
 	}
 }
 
+/* Guards against a search whose time grows with the square of the escapes:
+ * megabytes of them would stop the daemon for minutes. */
+static void test_escapes(void)
+{
+	static const char *const units[] = { "\\\\", "\\\"", "\\n" };
+	const size_t n = 1000000;
+	size_t i, k;
+
+	for (i = 0; i < sizeof(units) / sizeof(units[0]); i++) {
+		char *text = xmalloc(2 * n + 16);
+		char *at = text + sprintf(text, "{\"a\":\"");
+		str_t v;
+
+		for (k = 0; k < n; k++, at += 2)
+			memcpy(at, units[i], 2);
+		at += sprintf(at, "\",\"b\":2}");
+		CU_ASSERT(slice_member((str_t){ text, (size_t)(at - text) },
+				       "b", &v));
+		CU_ASSERT(str_eq(v, STR("2")));
+		free(text);
+	}
+}
+
 static void test_elements(void)
 {
 	static const struct {
@@ -112,6 +140,7 @@
 	CU_pSuite s = CU_add_suite("slices of JSON text", NULL, NULL);
 
 	CU_add_test(s, "members of an object", test_members);
+	CU_add_test(s, "strings of many escapes", test_escapes);
 	CU_add_test(s, "elements of an array", test_elements);
 	CU_add_test(s, "nesting", test_nesting);
 }
