Links: an answer whose status is none ends the send at once

A report from another system of this kind: a server in trouble sent an answer with the status 000, and the client got it. Here 000 was taken for an informational answer: the send waited for another until its deadline, and a request that may run once ended in 504 after its whole time; 600 and above was passed on to the caller.

A status outside 100 to 599 (RFC 9110, section 15) makes the answer invalid as soon as its head is read: the connection is closed, a repeatable request goes to another server, another gets 502. Searches map each status but 200 to a failure of the send.

--- a/daemon/edge_link.c
+++ b/daemon/edge_link.c
@@ -731,6 +731,13 @@
 	fail_link(worst, RT_LOST);
 }
 
+/* The status codes of RFC 9110, section 15. A server in trouble may send
+ * another, such as 000, which must not reach a caller. */
+static bool is_status(unsigned code)
+{
+	return code >= 100 && code <= 599;
+}
+
 static void read_answer(link_t *k)
 {
 	struct evbuffer *in = bufferevent_get_input(k->bev);
@@ -738,6 +745,9 @@
 	for (;;) {
 		bool valid = http_msg_feed(&k->msg, in);
 
+		if (k->msg.headers_done &&
+		    !is_status(k->msg.parser.status_code))
+			valid = false;
 		read_notices(k);
 		if (!valid) {
 			log_stray_answer(k, "not an answer");
--- a/standin/world.h
+++ b/standin/world.h
@@ -33,6 +33,8 @@
 	FAULT_COPIED_ANSWER,
 	FAULT_COPIED_NOT_RUN,
 	FAULT_STATUS_500, /**< runs the request, then status 500 */
+	FAULT_STATUS_000, /**< the same with 000 and 600, which are none */
+	FAULT_STATUS_600,
 	/** Status 421: the request is for another server. */
 	FAULT_WRONG_SERVER,
 	FAULT_CUT_HEAD, /**< closes the connection within the answer's head */
--- a/standin/world_server.c
+++ b/standin/world_server.c
@@ -198,7 +198,7 @@
 
 	append_records(body, s);
 	g_string_append_printf(out,
-			       "HTTP/1.1 %u X\r\n%s: %s\r\n"
+			       "HTTP/1.1 %03u X\r\n%s: %s\r\n"
 			       "%s: %s.%s\r\n",
 			       status, header(s, OUTSIDE_REQUEST_ID), id,
 			       header(s, OUTSIDE_SERVER_STAMP), s->id, id);
@@ -417,6 +417,12 @@
 	case FAULT_STATUS_500:
 		append_answer(out, c->server, id, 500, true);
 		break;
+	case FAULT_STATUS_000:
+		append_answer(out, c->server, id, 0, true);
+		break;
+	case FAULT_STATUS_600:
+		append_answer(out, c->server, id, 600, true);
+		break;
 	default:
 		append_answer(out, c->server, id, 200, true);
 		break;
