Registry: order revisions by the registry's era, for a restore from a copy

A daemon went on from a revision of before, took the complete list for outdated, and missed every later change until the registry's revision had passed its own (CONFIG: not in force in time).

A revision is now the era with the registry's number below it, so that all comparisons and messages between hosts hold across eras. The stand-in restores its store.

--- a/daemon/edge_metrics.c
+++ b/daemon/edge_metrics.c
@@ -115,8 +115,9 @@
 	put_gauge(out, "callers", (double)callers_count(e));
 	put_gauge(out, "own_time_seconds", age_seconds(rt_own_time(e->rt)));
 	put_gauge(out, "configuration_version", c ? (double)c->revision : 0);
-	put_gauge(out, "state_revision",
-		  (double)fleet_state_revision(e->state));
+	put_gauge(out, "state_revision", (double)edge_state_number(e));
+	put_gauge(out, "state_era",
+		  (double)fleet_revision_era(fleet_state_revision(e->state)));
 	put_gauge(out, "state_age_seconds", age_seconds(age));
 	put_gauge(out, "evacuated_data_centres",
 		  (double)rt_evacuated_count(e->rt));
--- a/daemon/edge_peer.c
+++ b/daemon/edge_peer.c
@@ -120,8 +120,8 @@
 			 "\"from\":\"%.*s\",\"origin\":\"%.*s\","
 			 "\"sent_to\":%zu",
 			 bytes, m->packed.sz, m->nitems,
-			 (unsigned long long)revision, STR_ARG(m->from),
-			 STR_ARG(m->origin), hosts);
+			 (unsigned long long)fleet_revision_number(revision),
+			 STR_ARG(m->from), STR_ARG(m->origin), hosts);
 }
 
 static bool is_recent(const edge_t *e, usec_t age)
@@ -208,6 +208,9 @@
 	 * which leases expired during the outage. */
 	if (is_recent(e, m->last_read_age))
 		rt_set_registry_up(e->rt, true, now);
+	if (fleet_revision_era(m->revision) >
+	    fleet_revision_era(fleet_state_revision(e->state)))
+		rt_on_registry_restored(e->rt, now);
 	fleet_state_apply_message(e->state, m);
 }
 
@@ -305,7 +308,7 @@
 		 "\"age_s\":%.3f,\"overdue_s\":%.3f,\"revision\":%llu",
 		 age_seconds(age),
 		 age_seconds(registry_overdue(e->registry, now)),
-		 (unsigned long long)fleet_state_revision(e->state));
+		 edge_state_number(e));
 }
 
 static void on_poll(evutil_socket_t fd, short what, void *arg)
--- a/daemon/edge_state.c
+++ b/daemon/edge_state.c
@@ -8,7 +8,7 @@
 	log_json(G_LOG_LEVEL_WARNING, "bad published item",
 		 "\"key\":%s,\"revision\":%llu,\"fault\":%s",
 		 log_quote(key, sizeof(key), it->key),
-		 (unsigned long long)it->revision,
+		 (unsigned long long)fleet_revision_number(it->revision),
 		 log_quote(text, sizeof(text), str_of(fault)));
 }
 
@@ -30,8 +30,8 @@
 		 "\"version\":%llu,\"revision\":%llu,\"bytes\":%zu,"
 		 "\"us\":%lld",
 		 (unsigned long long)c->revision,
-		 (unsigned long long)it->revision, it->value.sz,
-		 (long long)(clock_now() - began));
+		 (unsigned long long)fleet_revision_number(it->revision),
+		 it->value.sz, (long long)(clock_now() - began));
 	rt_set_conf(e->rt, c, clock_now());
 }
 
@@ -85,3 +85,8 @@
 {
 	return fleet_state_new(on_changed, e);
 }
+
+unsigned long long edge_state_number(const edge_t *e)
+{
+	return fleet_revision_number(fleet_state_revision(e->state));
+}
--- a/daemon/edge_store.c
+++ b/daemon/edge_store.c
@@ -52,6 +52,7 @@
 	bool stale;	/* the list may lack the latest changes */
 	bool available; /* the last request was answered */
 	bool refreshing; /* the request began after a suspension */
+	uint64_t era;	 /* highest one of its answers */
 	usec_t sent_at;	 /* time of the open request */
 	usec_t asked_at; /* the same, or time of the list's first page */
 	usec_t wait;	 /* for which the registry may hold back its answer */
@@ -129,8 +130,7 @@
 			 available ? "registry regained" : "registry lost",
 			 "\"addr\":\"%s\",\"why\":\"%s\",\"status\":%u,"
 			 "\"revision\":%llu",
-			 r->addr, why, status,
-			 (unsigned long long)fleet_state_revision(r->e->state));
+			 r->addr, why, status, edge_state_number(r->e));
 	if (r->available && !available)
 		fleet_peers_send_registry_lost(r->e);
 	r->available = available;
@@ -166,7 +166,7 @@
 		 "\"waited_ms\":%lld,\"revision\":%llu,\"path\":%s",
 		 r->listing ? "list" : "watch", result_names[why], status,
 		 (long long)((clock_now() - r->sent_at) / USEC_PER_MSEC),
-		 (unsigned long long)fleet_state_revision(r->e->state),
+		 edge_state_number(r->e),
 		 log_quote(path, sizeof(path),
 			   (str_t){ r->path->str, r->path->len }));
 }
@@ -193,6 +193,51 @@
 		set_answer_limit(r, 2 * r->answer_limit);
 }
 
+/* The highest era that the registry or a neighbour has told. */
+static uint64_t known_era(const registry_t *r)
+{
+	uint64_t era = fleet_revision_era(fleet_state_revision(r->e->state));
+
+	return era > r->era ? era : r->era;
+}
+
+/* Reads the era of an answer. Without one it is the known one: registries that
+ * are never restored tell none. False if the value is no era. */
+static bool read_era(const registry_t *r, uint64_t *era)
+{
+	const char *name = r->e->protocol->headers[OUTSIDE_ERA];
+	str_t v = http_msg_get(&r->msg, name);
+	size_t i;
+
+	*era = known_era(r);
+	if (!http_msg_has(&r->msg, name))
+		return true;
+	*era = 0;
+	for (i = 0; i < v.sz && v.s[i] >= '0' && v.s[i] <= '9' &&
+		    !(*era >> FLEET_ERA_BITS);
+	     i++)
+		*era = *era * 10 + (uint64_t)(v.s[i] - '0');
+	return v.sz && i == v.sz && !(*era >> FLEET_ERA_BITS);
+}
+
+/* Revisions of the registry as this daemon orders them. False if one has too
+ * many bits. */
+static bool add_era(outside_items_t *items, uint64_t era)
+{
+	size_t i;
+
+	if (items->revision >> FLEET_REVISION_BITS)
+		return false;
+	items->revision = fleet_revision(era, items->revision);
+	for (i = 0; i < items->n; i++) {
+		if (items->v[i].revision >> FLEET_REVISION_BITS)
+			return false;
+		items->v[i].revision =
+			fleet_revision(era, items->v[i].revision);
+	}
+	return true;
+}
+
 static void apply_items(registry_t *r, const outside_items_t *items)
 {
 	fleet_state_t *state = r->e->state;
@@ -258,7 +303,7 @@
 		set_timer(r, edge_apply_share(r->e, pause));
 }
 
-static void handle_answer(registry_t *r)
+static void handle_answer(registry_t *r, uint64_t era)
 {
 	usec_t now = clock_now(), as_of;
 	uint64_t before = fleet_state_revision(r->e->state);
@@ -268,7 +313,7 @@
 
 	/* Without a key there is no path to the next page. */
 	if (!r->e->protocol->read_items(body, &items, &mem) ||
-	    (items.more && items.n == 0)) {
+	    (items.more && items.n == 0) || !add_era(&items, era)) {
 		arena_free(&mem);
 		fail_request(r, REGISTRY_INVALID, r->msg.parser.status_code);
 		return;
@@ -276,7 +321,8 @@
 	if (items.unreadable)
 		log_json(G_LOG_LEVEL_WARNING, "items with unreadable keys",
 			 "\"items\":%zu,\"revision\":%llu", items.unreadable,
-			 (unsigned long long)items.revision);
+			 (unsigned long long)fleet_revision_number(
+				 items.revision));
 	r->results[REGISTRY_ANSWERED]++;
 	set_available(r, true, result_names[REGISTRY_ANSWERED],
 		      r->msg.parser.status_code);
@@ -303,11 +349,60 @@
 	r->listing = true;
 }
 
+static bool is_first_page(const registry_t *r)
+{
+	return r->listing && r->last_key.sz == 0;
+}
+
+/* The registry was restored from a copy: its revisions went back, and it gives
+ * them out again for other changes. The complete list of the new era replaces
+ * the state; an answer to another request does not help. */
+static void begin_era(registry_t *r, uint64_t era)
+{
+	r->era = era;
+	if (fleet_state_revision(r->e->state) == 0)
+		return;
+	log_json(G_LOG_LEVEL_MESSAGE, "registry restored",
+		 "\"era\":%llu,\"revision\":%llu", (unsigned long long)era,
+		 edge_state_number(r->e));
+	rt_on_registry_restored(r->e->rt, clock_now());
+}
+
+static void handle_response(registry_t *r, unsigned status)
+{
+	bool lists = is_first_page(r);
+	uint64_t era;
+
+	if (!read_era(r, &era) || era < known_era(r)) {
+		fail_request(r, REGISTRY_INVALID, status);
+		return;
+	}
+	if (era > known_era(r)) {
+		begin_era(r, era);
+		if (!lists) {
+			r->waiting = false;
+			start_list(r);
+			send_request(r);
+			return;
+		}
+	}
+	if (status == 200) {
+		handle_answer(r, era);
+	} else if (status == HTTP_STATUS_GONE && !r->listing) {
+		log_json(G_LOG_LEVEL_MESSAGE, "registry history lost",
+			 "\"revision\":%llu", edge_state_number(r->e));
+		r->waiting = false;
+		start_list(r);
+		send_request(r);
+	} else {
+		fail_request(r, REGISTRY_REFUSED, status);
+	}
+}
+
 static void on_read(struct bufferevent *bev, void *arg)
 {
 	registry_t *r = arg;
 	edge_t *e = r->e;
-	unsigned status;
 
 	if (!r->waiting) {
 		disconnect(r); /* unexpected bytes: no request is open */
@@ -327,7 +422,6 @@
 		return;
 	}
 	evtimer_del(r->timer);
-	status = r->msg.parser.status_code;
 	if (evbuffer_get_length(bufferevent_get_input(bev))) {
 		/* They would be taken for the answer to the next request. */
 		log_json(G_LOG_LEVEL_WARNING,
@@ -337,18 +431,7 @@
 	}
 	if (!r->msg.keep_alive)
 		disconnect(r);
-	if (status == 200) {
-		handle_answer(r);
-	} else if (status == HTTP_STATUS_GONE && !r->listing) {
-		log_json(G_LOG_LEVEL_MESSAGE, "registry history lost",
-			 "\"revision\":%llu",
-			 (unsigned long long)fleet_state_revision(r->e->state));
-		r->waiting = false;
-		start_list(r);
-		send_request(r);
-	} else {
-		fail_request(r, REGISTRY_REFUSED, status);
-	}
+	handle_response(r, r->msg.parser.status_code);
 	edge_run_actions(e);
 }
 
@@ -383,7 +466,7 @@
 	usec_t limit = r->answer_limit;
 
 	r->sent_at = clock_now();
-	if (!r->listing || r->last_key.sz == 0)
+	if (!r->listing || is_first_page(r))
 		r->asked_at = r->sent_at;
 	r->wait = 0;
 	r->answering = false;
@@ -395,14 +478,15 @@
 	if (r->listing) {
 		/* The first list may be stale: the watch gets the later
 		 * changes. */
-		if (r->last_key.sz == 0)
+		if (is_first_page(r))
 			r->stale = revision == 0;
 		r->e->protocol->list_path(r->path, r->last_key, r->stale);
 		limit = edge_apply_share(r->e, ANSWER_LIMIT_MAX_SHARE);
 	} else {
 		if (!r->refreshing)
 			r->wait = watch_wait(r);
-		r->e->protocol->watch_path(r->path, revision, r->wait);
+		r->e->protocol->watch_path(
+			r->path, fleet_revision_number(revision), r->wait);
 	}
 	http_msg_reset(&r->msg, HTTP_RESPONSE);
 	r->msg.body_limit = MAX_ANSWER_BYTES;
@@ -460,8 +544,7 @@
 		return;
 	r->role = role;
 	log_json(G_LOG_LEVEL_INFO, events[role],
-		 "\"revision\":%llu,\"age_s\":%.3f",
-		 (unsigned long long)fleet_state_revision(r->e->state),
+		 "\"revision\":%llu,\"age_s\":%.3f", edge_state_number(r->e),
 		 age_seconds(fleet_state_age(r->e->fleet, clock_now())));
 	/* A watch that isn't needed any more ends by itself. */
 	if (role == FLEET_FOLLOWER)
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -226,6 +226,8 @@
 /* edge_state.c */
 /** Makes an empty published state whose changes are applied to e->rt. */
 fleet_state_t *edge_state_new(edge_t *e);
+/** The state's revision as the registry tells it, for logs and metrics. */
+unsigned long long edge_state_number(const edge_t *e);
 
 /* edge_peer.c */
 /** Opens the socket for other daemons; false if that fails. */
--- a/daemon/outside.h
+++ b/daemon/outside.h
@@ -28,6 +28,9 @@
 	OUTSIDE_LOAD,
 	/** In a server's answer: milliseconds for which it stays cold. */
 	OUTSIDE_WARMUP,
+	/** In the registry's answers: its era, a whole number that rises each
+	 * time it is restored from a copy. */
+	OUTSIDE_ERA,
 	OUTSIDE_HEADER_MAX, /**< number of values */
 } outside_header_t;
 
--- a/daemon/outside_own.c
+++ b/daemon/outside_own.c
@@ -49,6 +49,7 @@
 		[OUTSIDE_LEAVING] = "Gs-Leaving",
 		[OUTSIDE_LOAD] = "Gs-Load",
 		[OUTSIDE_WARMUP] = "Gs-Warmup-Ms",
+		[OUTSIDE_ERA] = "Gs-Era",
 	},
 	.ready_path = "/ready",
 	.misdirected_status = 421,
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -126,6 +126,22 @@
 
 /* Published state. */
 
+/** Bits of an era and, below them, of a revision within the era. */
+#define FLEET_ERA_BITS 18
+#define FLEET_REVISION_BITS 44
+
+/**
+ * Combines the registry's era, which rises each time it is restored from a
+ * copy, with one of its revisions, which it may give out again after that.
+ * Revisions of this file are such: the later change has the higher one. Both
+ * must fit into their bits.
+ */
+uint64_t fleet_revision(uint64_t era, uint64_t number);
+/** The era of a revision; 0 if the registry tells none. */
+uint64_t fleet_revision_era(uint64_t revision);
+/** The revision as the registry tells it. */
+uint64_t fleet_revision_number(uint64_t revision);
+
 /** Replica of the published state; opaque. */
 typedef struct fleet_state fleet_state_t;
 /** Called for each key that changed or was deleted; the item is borrowed. */
--- a/fleet/fleet_state.c
+++ b/fleet/fleet_state.c
@@ -39,6 +39,21 @@
 	uint64_t list_revision;	  /* lowest of the pages of the list */
 };
 
+uint64_t fleet_revision(uint64_t era, uint64_t number)
+{
+	return era << FLEET_REVISION_BITS | number;
+}
+
+uint64_t fleet_revision_era(uint64_t revision)
+{
+	return revision >> FLEET_REVISION_BITS;
+}
+
+uint64_t fleet_revision_number(uint64_t revision)
+{
+	return revision & (((uint64_t)1 << FLEET_REVISION_BITS) - 1);
+}
+
 fleet_state_t *fleet_state_new(fleet_change_fn_t fn, void *arg)
 {
 	fleet_state_t *s = xcalloc(1, sizeof(*s));
--- a/route/libroute.h
+++ b/route/libroute.h
@@ -103,6 +103,7 @@
 	str_t dc;	 /* owned */
 	bool known;	 /* a server was known there, or this host is in it */
 	usec_t check_at; /* then it is logged if it isn't known; 0: it was */
+	usec_t withdraw_at; /* unless it is published again; 0: published */
 } rt_evacuation_t;
 
 /* A service, kept across configuration versions. */
@@ -259,8 +260,9 @@
 	usec_t hold_until;    /* nothing is sent before this time; 0: no hold */
 	rt_stop_t stop;
 	bool registry_up;
-	usec_t state_as_of;	 /* the state was complete then; 0: never */
-	usec_t registry_back_at; /* end of the last outage; 0: none known */
+	usec_t state_as_of;	     /* the state was complete then; 0: never */
+	usec_t registry_back_at;     /* end of the last outage; 0: none known */
+	usec_t registry_restored_at; /* from an older copy; 0: never */
 	usec_t next_sweep;
 	rt_act_t *acts;
 	size_t nacts;
--- a/route/route.h
+++ b/route/route.h
@@ -369,6 +369,12 @@
  * ended. Servers that are removed soon after it may only have lost their lease.
  */
 void rt_set_registry_back(rt_t *rt, usec_t at);
+/**
+ * The registry was replaced by an older copy of it, whose content follows. What
+ * the copy lacks is soon written again: servers that are removed may only lack
+ * their entry, and evacuations that are withdrawn stay in force for a time.
+ */
+void rt_on_registry_restored(rt_t *rt, usec_t now);
 /** Time since the end of the last known registry outage; below 0: none. */
 usec_t rt_registry_back_age(const rt_t *rt, usec_t now);
 
--- a/route/rt_evacuate.c
+++ b/route/rt_evacuate.c
@@ -18,6 +18,10 @@
  * published state has the keys of evacuations before those of servers, and is
  * applied within this time. */
 #define UNKNOWN_AFTER (1 * USEC_PER_SEC)
+/* Time after which an evacuation is over that the copy lacks from which the
+ * registry was restored. Operators write what was lost again; a longer
+ * evacuation does less harm than one that is interrupted. */
+#define RESTORE_HOLD (5 * USEC_PER_SEC)
 
 static rt_evacuation_t *find_evacuation(const rt_t *rt, str_t dc)
 {
@@ -103,13 +107,23 @@
 			rt_wait_drain(rt, rt->all_svcs[i], now);
 }
 
+static bool was_restored(const rt_t *rt, usec_t now)
+{
+	return rt->registry_restored_at &&
+	       now - rt->registry_restored_at < RESTORE_HOLD;
+}
+
 void rt_set_evacuated(rt_t *rt, str_t dc, bool evacuated, usec_t now)
 {
 	rt_evacuation_t *e = find_evacuation(rt, dc);
 
 	if (evacuated && !e)
 		begin_evacuation(rt, dc, now);
-	else if (!evacuated && e)
+	else if (evacuated)
+		e->withdraw_at = 0;
+	else if (e && was_restored(rt, now))
+		e->withdraw_at = rt->registry_restored_at + RESTORE_HOLD;
+	else if (e)
 		withdraw_evacuation(rt, e, now);
 }
 
@@ -139,8 +153,12 @@
 	rt_evacuation_t *e;
 	size_t i;
 
-	for (i = 0; i < rt->nevacuations; i++) {
-		e = &rt->evacuations[i];
+	for (i = rt->nevacuations; i > 0; i--) {
+		e = &rt->evacuations[i - 1];
+		if (e->withdraw_at && now >= e->withdraw_at) {
+			withdraw_evacuation(rt, e, now);
+			continue;
+		}
 		if (!e->check_at || now < e->check_at)
 			continue;
 		e->check_at = 0;
--- a/route/rt_registry.c
+++ b/route/rt_registry.c
@@ -288,6 +288,12 @@
 		rt->registry_back_at = at;
 }
 
+void rt_on_registry_restored(rt_t *rt, usec_t now)
+{
+	rt->registry_restored_at = now;
+	rt_set_registry_back(rt, now);
+}
+
 usec_t rt_registry_back_age(const rt_t *rt, usec_t now)
 {
 	return rt->registry_back_at ? now - rt->registry_back_at : -1;
--- a/standin/world.c
+++ b/standin/world.c
@@ -90,13 +90,18 @@
 {
 	struct evbuffer *out = bufferevent_get_output(bev);
 	int copies = w->store_copies ? 2 : 1;
+	char era[64] = "";
 
+	if (w->store_era)
+		g_snprintf(era, sizeof(era), "%s: %llu\r\n",
+			   w->daemon_protocol->headers[OUTSIDE_ERA],
+			   (unsigned long long)w->store_era);
 	while (copies--) {
 		evbuffer_add_printf(out,
 				    "HTTP/1.1 %u X\r\n"
 				    "Content-Type: application/json\r\n"
-				    "Content-Length: %zu\r\n\r\n",
-				    status, body->len);
+				    "%sContent-Length: %zu\r\n\r\n",
+				    status, era, body->len);
 		evbuffer_add(out, body->str, body->len);
 	}
 }
@@ -245,6 +250,10 @@
 	} else if (memcmp(target.s, w->protocol->list_path,
 			  strlen(w->protocol->list_path)) == 0) {
 		answer_list_request(w, c->bev, target);
+	} else if (w->store_era && after > w->revision) {
+		error = g_string_new("{\"error\":\"gone\"}");
+		reply_json(w, c->bev, 410, error);
+		g_string_free(error, TRUE);
 	} else if (!reply_changes(w, c->bev, after, false)) {
 		start_watch(w, c->bev, after,
 			    ms > WATCH_MAX_MS ? WATCH_MAX_MS : (unsigned)ms);
@@ -327,6 +336,23 @@
 	}
 }
 
+void world_restore(world_t *w, uint64_t revision)
+{
+	guint i;
+
+	g_hash_table_remove_all(w->items);
+	for (i = 0; i < w->changes->len; i++) {
+		item_t *it = w->changes->pdata[i];
+
+		if (it->revision > revision)
+			break;
+		g_hash_table_replace(w->items, it->key, it);
+	}
+	g_ptr_array_set_size(w->changes, (gint)i);
+	w->revision = revision;
+	w->store_era++;
+}
+
 void world_evacuate(world_t *w, const char *dc, bool evacuated)
 {
 	char *key = g_strconcat(w->protocol->evacuate_prefix, dc, NULL);
--- a/standin/world.h
+++ b/standin/world.h
@@ -170,7 +170,8 @@
 	GPtrArray *changes; /**< all items ever written, oldest first */
 	GPtrArray *watches; /**< requests that wait for a change */
 	uint64_t revision;
-	bool store_down; /**< the store answers 503 */
+	uint64_t store_era; /**< told in all answers of the store; 0: not */
+	bool store_down;    /**< the store answers 503 */
 	/**
 	 * The store never answers the requests that it gets now, nor later ones
 	 * on their connections, which stay open. Watches that wait go on.
@@ -232,6 +233,11 @@
 void world_free(world_t *w);
 /** Writes a key of the store; a NULL value deletes the key. */
 void world_put(world_t *w, const char *key, const char *value);
+/**
+ * Replaces the store by a copy of it at a revision: later writes are lost, and
+ * their revisions are given out again. The store's era rises.
+ */
+void world_restore(world_t *w, uint64_t revision);
 /** Publishes or withdraws the evacuation of a data centre. */
 void world_evacuate(world_t *w, const char *dc, bool evacuated);
 /** Most requests that the server ran in a second, among those since a time. */
--- a/tests/edge_state.c
+++ b/tests/edge_state.c
@@ -80,6 +80,62 @@
 	world_free(r.w);
 }
 
+/*
+ * The registry is replaced by a copy that lacks the latest changes; what was
+ * written since is written again. Guards against a daemon that goes on from a
+ * revision which the copy has not given out or gives out again, and so misses
+ * later changes, and against one that goes back to the copy's configuration.
+ */
+static void test_restored_registry(void)
+{
+	enum { LOST = 5 };
+	static const struct {
+		unsigned rewritten; /* keys written again, of LOST */
+		bool watching;	    /* a watch is open meanwhile */
+	} cases[] = {
+		{ 0, false }, { LOST - 2, false }, { 2 * LOST, false },
+		{ 0, true },  { 2 * LOST, true },
+	};
+	uint64_t copy;
+	char key[32];
+	setup_t r;
+	size_t i;
+	unsigned k;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		r = setup_new();
+		r.w->store_era = 1;
+		world_run_loop(r.w, 1500);
+		copy = r.w->revision;
+		for (k = 0; k < LOST; k++) {
+			snprintf(key, sizeof(key), "other/%u", k);
+			world_put(r.w, key, "lost");
+		}
+		publish_conf(r.w, CONF_HEAD CONF_ALL CONF_TAIL, 9);
+		world_run_loop(r.w, 1500);
+		CU_ASSERT_EQUAL(request_status(&r, GET("/one/x", "e")), 404);
+		r.w->store_down = true;
+		if (!cases[i].watching)
+			world_run_loop(r.w, 1500);
+		world_restore(r.w, copy);
+		r.w->store_down = false;
+		if (cases[i].watching)
+			world_run_loop(r.w, 1500);
+		CU_ASSERT_NOT_EQUAL(request_status(&r, GET("/one/x", "e")),
+				    200);
+		publish_conf(r.w, CONF_HEAD CONF_ALL CONF_TAIL, 9);
+		publish_conf(r.w, CONF_HEAD CONF_ALL CONF_ONE CONF_TAIL, 10);
+		for (k = 0; k < cases[i].rewritten; k++) {
+			snprintf(key, sizeof(key), "other/%u", k);
+			world_put(r.w, key, "written again");
+		}
+		world_run_loop(r.w, 3000);
+		CU_ASSERT_EQUAL(request_status(&r, GET("/one/x", "e")), 200);
+		CU_ASSERT_EQUAL(request_status(&r, GET("/all/x", "e")), 200);
+		world_free(r.w);
+	}
+}
+
 /*
  * A change has ended the watches of all daemons at the same moment, and the
  * registry never answers the next ones, or never ends its answers, though it
@@ -399,6 +455,7 @@
 	{ "configurations", test_configuration },
 	{ "draining and new servers", test_servers_change },
 	{ "the registry is down", test_registry_down },
+	{ "a registry restored from a copy", test_restored_registry },
 	{ "watches that the registry never answers", test_lost_watches },
 	{ "a slow registry", test_slow_registry },
 	{ "bytes after the registry's answers", test_copying_registry },
--- a/tests/unit_evacuate.c
+++ b/tests/unit_evacuate.c
@@ -242,6 +242,41 @@
 	}
 }
 
+/* Guards against an evacuation that is interrupted because the copy lacks it
+ * from which the registry was restored, and against one that never ends. */
+static void test_restored(void)
+{
+	static const struct {
+		bool restored;
+		bool written_again;
+		usec_t wait;
+		size_t count;
+	} cases[] = {
+		{ false, false, 0, 0 },	       { true, false, 0, 1 },
+		{ true, false, 4900 * MS, 1 }, { true, false, 5100 * MS, 0 },
+		{ true, true, 5100 * MS, 1 },
+	};
+	size_t i;
+
+	for (i = 0; i < ARRAY_LEN(cases); i++) {
+		rig_t *r = rig_new(HOSTS, 2);
+
+		evacuate(r, FAR, true);
+		if (cases[i].restored)
+			rt_on_registry_restored(r->rt, r->now);
+		evacuate(r, FAR, false);
+		if (cases[i].written_again)
+			evacuate(r, FAR, true);
+		rig_advance(r, cases[i].wait);
+		CU_ASSERT_EQUAL(rt_evacuated_count(r->rt), cases[i].count);
+		/* Later ones end at once. */
+		rig_advance(r, 5100 * MS);
+		evacuate(r, FAR, false);
+		CU_ASSERT_EQUAL(rt_evacuated_count(r->rt), 0);
+		rig_free(r);
+	}
+}
+
 void unit_evacuate(void)
 {
 	CU_pSuite s = CU_add_suite("evacuate", NULL, NULL);
@@ -251,4 +286,6 @@
 	CU_add_test(s, "evacuations of unknown data centres", test_unknown);
 	CU_add_test(s, "all servers are evacuated", test_all_evacuated);
 	CU_add_test(s, "connections to evacuated servers", test_connections);
+	CU_add_test(s, "evacuations that a restored registry lacks",
+		    test_restored);
 }
