Check of routes: build with the sanitizers

./dev asan stopped in conf/routes_check.c: with -fsanitize=undefined the compiler takes the format of a message for one that may be NULL. Its function now says that it is not.

Evidence: build/ and build-asan build; before, "error: null format string".

--- a/conf/routes_check.c
+++ b/conf/routes_check.c
@@ -41,7 +41,8 @@
 	return kind < RT_FIND_MAX ? finding_names[kind] : "unknown";
 }
 
-static str_t format_args(arena_t *mem, const char *fmt, va_list ap)
+__attribute__((nonnull)) static str_t format_args(arena_t *mem, const char *fmt,
+						  va_list ap)
 {
 	va_list copy;
 	char *s;
