--- a/standin/libworld.h
+++ b/standin/libworld.h
@@ -11,6 +11,7 @@
 	world_t *w;
 	world_server_t *server; /**< NULL: the connection is to the store */
 	struct bufferevent *bev;
+	usec_t accepted_at;
 	http_msg_t msg;	     /**< request that is being received */
 	struct event *timer; /**< delays an answer; NULL if not used yet */
 	bool silent;	     /**< no request is answered any more */
--- a/standin/world.h
+++ b/standin/world.h
@@ -71,6 +71,12 @@
 /** A proxy between a daemon and the store or a server. */
 typedef struct world_proxy world_proxy_t;
 
+/** The time limit that came with a request. */
+typedef struct world_given {
+	usec_t until;	    /**< the sender waits until then */
+	usec_t accepted_at; /**< when its connection was accepted */
+} world_given_t;
+
 /** A server of a service. */
 typedef struct world_server {
 	struct world *w;
@@ -111,6 +117,7 @@
 	unsigned runs;
 	/** Latest time until which senders wait, by the limits they gave. */
 	usec_t given_until;
+	GArray *given_times; /**< world_given_t, of all requests */
 	/** The next accept stops this process (SIGSTOP); 0: none. */
 	pid_t stop_at_accept;
 	/** Connections closed by callers during a request. */
--- a/standin/world_server.c
+++ b/standin/world_server.c
@@ -109,6 +109,7 @@
 
 	c->w = w;
 	c->server = s;
+	c->accepted_at = standin_now();
 	c->on_request = on_request;
 	c->on_closed = on_closed;
 	if (s) {
@@ -543,12 +544,15 @@
 {
 	str_t v = http_msg_get(&c->msg, header(c->server, OUTSIDE_TIME_LEFT));
 	char *text = g_strndup(v.s, v.sz);
+	world_given_t given = { .accepted_at = c->accepted_at };
 	usec_t until;
 
 	until = standin_now() +
 		(usec_t)(g_ascii_strtod(text, NULL) * (double)USEC_PER_MSEC);
 	if (c->server->given_until < until)
 		c->server->given_until = until;
+	given.until = until;
+	g_array_append_val(c->server->given_times, given);
 	g_free(text);
 }
 
@@ -612,6 +616,7 @@
 
 	s->w = w;
 	s->run_times = g_array_new(FALSE, FALSE, sizeof(usec_t));
+	s->given_times = g_array_new(FALSE, FALSE, sizeof(world_given_t));
 	g_snprintf(s->id, sizeof(s->id), "i-%s-%u", service, w->servers->len);
 	g_snprintf(s->service, sizeof(s->service), "%s", service);
 	g_snprintf(s->dc, sizeof(s->dc), "%s", dc);
@@ -665,5 +670,6 @@
 {
 	evconnlistener_free(s->listener);
 	g_array_free(s->run_times, TRUE);
+	g_array_free(s->given_times, TRUE);
 	g_free(s);
 }
