Callers: read heads of requests as RFC 9112 has it

Seen by a client that tried odd requests: two Host lines and two time limits were accepted (one taken silently), an absolute target got 404, a time limit with a blank behind it 400, 0x10, 1e3 and +5 were taken as time limits, HTTP/9.9 was served, and a chunk extension of 300 KB was read.

What the head says is read in one place, daemon/edge_request.c: exactly one Host line and at most one time limit (400), major version 1 (505), targets in absolute form by their own host, blanks around values trimmed, time limits in decimal digits only. Chunk extensions beyond three times the header limit are refused (413); chunks of one byte are not.

--- a/Makefile
+++ b/Makefile
@@ -154,7 +154,7 @@
 	$(PLATFORM) daemon/body.c daemon/clock.c daemon/dialect.c daemon/job.c \
 	daemon/host_list.c daemon/edge_http.c daemon/outside.c \
 	daemon/outside_items.c daemon/outside_own.c daemon/load_header.c \
-	daemon/settings.c daemon/edge_turn.c $(UNIT))
+	daemon/settings.c daemon/edge_turn.c daemon/edge_request.c $(UNIT))
 	$(CC) -o $@ $^ $(LIBS) $(LIBS_TEST_PKGS)
 
 # Library for programs that generate configurations.
--- a/daemon/edge_caller.c
+++ b/daemon/edge_caller.c
@@ -29,7 +29,6 @@
 /* Time limits in force until the first configuration arrives. */
 #define DEFAULT_HEADER_TIME (10 * USEC_PER_SEC)
 #define DEFAULT_IDLE_TIME (75 * USEC_PER_SEC)
-#define MAX_TIME_LEFT_MS 3600000.0
 /* Round trip to a caller if the kernel does not tell it, and its limit. */
 #define DEFAULT_ROUND_TRIP (6 * USEC_PER_MSEC)
 #define MAX_ROUND_TRIP (100 * USEC_PER_MSEC)
@@ -271,16 +270,15 @@
 
 /* Builds the part of the request that is the same for all servers; each send
  * adds its own header lines and the blank line. */
-static void build_forwarded_headers(caller_t *c)
+static void build_forwarded_headers(caller_t *c, str_t path)
 {
 	const http_msg_t *m = &c->msg;
-	str_t target = http_msg_target(m);
 	str_t name, value;
 	size_t i;
 
 	g_string_printf(c->forwarded_headers, "%s ",
 			http_method_str(m->parser.method));
-	g_string_append_len(c->forwarded_headers, target.s, (gssize)target.sz);
+	g_string_append_len(c->forwarded_headers, path.s, (gssize)path.sz);
 	g_string_append(c->forwarded_headers, " HTTP/1.1\r\n");
 	for (i = 0; http_msg_header(m, i, &name, &value); i++) {
 		if (!http_msg_forwards(m, i) || is_set_by_daemon(c, name))
@@ -298,39 +296,6 @@
 				       "Content-Length: %zu\r\n", m->body->len);
 }
 
-/* The Host value in lower case and without the port; the caller frees it. */
-static str_t request_host(const http_msg_t *m)
-{
-	str_t v = http_msg_get(m, "Host");
-	const char *colon = memchr(v.s, ':', v.sz);
-
-	if (colon)
-		v.sz = (size_t)(colon - v.s);
-	return (str_t){ g_ascii_strdown(v.s, (gssize)v.sz), v.sz };
-}
-
-/* The time that the caller still waits; 0 if the request has no such header
- * line, below 0 if its value is invalid. */
-static usec_t read_time_left(const caller_t *c)
-{
-	const char *name = c->e->protocol->headers[OUTSIDE_TIME_LEFT];
-	str_t v = http_msg_get(&c->msg, name);
-	char *text, *end;
-	double ms;
-
-	if (!http_msg_has(&c->msg, name))
-		return 0;
-	text = g_strndup(v.s, v.sz);
-	ms = strtod(text, &end);
-	if (end == text || *end || !(ms >= 0) || ms > MAX_TIME_LEFT_MS)
-		ms = -1;
-	g_free(text);
-	if (ms < 0)
-		return -1;
-	/* 0 would mean "not given": use the shortest time, 1 us. */
-	return ms > 0 ? (usec_t)(ms * (double)USEC_PER_MSEC) : 1;
-}
-
 /* The request and its answer take a round trip. The first request of a
  * connection had to wait for the handshake, which takes another one. */
 static usec_t network_time(const caller_t *c)
@@ -384,22 +349,26 @@
 {
 	rt_request_t r = { .caller = c };
 	usec_t now = clock_now();
+	request_head_t head;
 
 	evtimer_del(c->timer);
 	c->state = CALLER_WAITING;
-	r.time_left = read_time_left(c);
-	if (!http_msg_has(&c->msg, "Host") || r.time_left < 0) {
-		reject(c, 400, r.time_left < 0 ? "time_left" : "host");
+	if (!request_head_read(&c->msg,
+			       c->e->protocol->headers[OUTSIDE_TIME_LEFT],
+			       &head)) {
+		reject(c, head.status, head.why);
 		return;
 	}
 	rt_check_suspension(c->e->rt, now);
-	build_forwarded_headers(c);
+	build_forwarded_headers(c, head.path);
+	r.time_left = head.time_left;
 	r.unread = now > c->earliest ? now - c->earliest : 0;
 	r.network_time = network_time(c);
 	c->had_request = true;
 	r.id = caller_request_id(c);
-	r.host = request_host(&c->msg);
-	r.path = http_msg_target(&c->msg);
+	r.host = (str_t){ g_ascii_strdown(head.host.s, (gssize)head.host.sz),
+			  head.host.sz };
+	r.path = head.path;
 	r.method =
 		str_of(http_method_str((enum http_method)c->msg.parser.method));
 	r.body_sz = c->msg.body->len;
--- a/daemon/edge_http.c
+++ b/daemon/edge_http.c
@@ -5,6 +5,9 @@
 
 /* Set as http_parser's own limit. */
 #define MAX_HEADER_BYTES ((uint32_t)1 << 20)
+/* Bytes that chunks and their extensions add to a body: 5 to each byte of it in
+ * chunks of one byte, and as many as the headers may have. */
+#define CHUNK_BYTES_PER_BYTE 8
 #define KEPT_BYTES ((size_t)64 << 10) /* of each buffer between messages */
 
 static int on_start_text(http_parser *p, const char *at, size_t n);
@@ -202,6 +205,7 @@
 	m->parser.data = m;
 	empty_buffers(m);
 	m->start_text_sz = 0;
+	m->consumed = 0;
 	m->started = false;
 	m->headers_done = false;
 	m->has_length = false;
@@ -315,6 +319,15 @@
 	return 0;
 }
 
+/* Whether chunk extensions make up most of what was received: their sender
+ * chooses their length, and nothing else limits it. */
+static bool has_long_extensions(const http_msg_t *m)
+{
+	return m->headers_done &&
+	       m->consumed > 3 * m->header_limit +
+				     (1 + CHUNK_BYTES_PER_BYTE) * m->body->len;
+}
+
 bool http_msg_feed(http_msg_t *m, struct evbuffer *in)
 {
 	size_t n = evbuffer_get_length(in);
@@ -327,7 +340,10 @@
 	at = (const char *)evbuffer_pullup(in, -1);
 	used = http_parser_execute(&m->parser, &callbacks, at, n);
 	evbuffer_drain(in, used);
-	if (m->done)
+	m->consumed += used;
+	if (m->fault == HTTP_FAULT_NONE && has_long_extensions(m))
+		set_fault(m, HTTP_FAULT_BODY_SIZE);
+	else if (m->done)
 		return true;
 	if (m->fault != HTTP_FAULT_NONE)
 		return false;
--- a/daemon/libedge.h
+++ b/daemon/libedge.h
@@ -57,6 +57,7 @@
 	size_t start_text_sz; /**< bytes of the request target or reason */
 	size_t header_limit;  /**< bytes; beyond it: HTTP_FAULT_HEADER_SIZE */
 	size_t body_limit;    /**< bytes; beyond it: HTTP_FAULT_BODY_SIZE */
+	size_t consumed;      /**< bytes of the message so far */
 	bool started;	      /**< at least one byte was received */
 	bool headers_done;    /**< the blank line after the headers was read */
 	bool has_length;      /**< and the headers tell where the body ends */
@@ -105,6 +106,24 @@
 /** Compares header names; letter case does not count. */
 bool http_name_equals(str_t name, const char *other);
 
+/* edge_request.c: what the head of a caller's request says. */
+
+/** Destination and time limit of a request; strings are borrowed. */
+typedef struct request_head {
+	str_t host;	  /**< as written, without the port */
+	str_t path;	  /**< with the query */
+	usec_t time_left; /**< for which the caller waits; 0: not given */
+	unsigned status;  /**< to refuse the request with; 0: it is valid */
+	const char *why;  /**< word for the reason; NULL: it is valid */
+} request_head_t;
+
+/**
+ * Reads a complete request. time_left_name: name of the header line with the
+ * caller's time limit in milliseconds. Returns false if it is to be refused.
+ */
+bool request_head_read(const http_msg_t *m, const char *time_left_name,
+		       request_head_t *h);
+
 /* load_header.c: the header line with a server's load. */
 
 /** What the header lines of an answer tell of the server's load. */
--- a/tests/edge_main.c
+++ b/tests/edge_main.c
@@ -324,6 +324,14 @@
 				     "3\r\nabc\r\n0\r\n\r\n",
 		  200 },
 		{ GET("/nowhere/", "c"), 404 },
+		{ "GET /one/ HTTP/1.1\r\nHost: h\r\nHost: h\r\n"
+		  "Request-Id: c\r\n\r\n",
+		  400 },
+		{ "GET /one/ HTTP/9.9\r\nHost: h\r\nRequest-Id: c\r\n\r\n",
+		  505 },
+		{ "GET http://h/one/ HTTP/1.1\r\nHost: x\r\n"
+		  "Request-Id: c\r\n\r\n",
+		  200 },
 		{ "GET /one/ HTTP/1.1\r\nHost: H:80\r\nRequest-Id: c\r\n\r\n",
 		  200 },
 		{ HEAD("/one/", "c"), 408 }, /* the blank line is never sent */
--- a/tests/unit_outside.c
+++ b/tests/unit_outside.c
@@ -130,6 +130,112 @@
 	}
 }
 
+/* Guards against requests that another server could read differently, and
+ * against proper ones that are refused. */
+static void test_request_heads(void)
+{
+	static const struct {
+		const char *bytes;
+		unsigned status; /* 0: accepted */
+		const char *host;
+		const char *path;
+		usec_t time_left;
+	} cases[] = {
+		{ "GET /a?b HTTP/1.1\r\nHost: h:80\r\n\r\n", 0, "h", "/a?b",
+		  0 },
+		{ "GET /a HTTP/1.0\r\nHost: h\r\n\r\n", 0, "h", "/a", 0 },
+		{ "GET /a HTTP/1.1\r\nHost: [::1]:80\r\n\r\n", 0, "[::1]", "/a",
+		  0 },
+		{ "GET /a HTTP/1.1\r\nHost: h \t\r\nT: 5 \r\n\r\n", 0, "h",
+		  "/a", 5000 },
+		{ "GET http://x:1/a?b HTTP/1.1\r\nHost: h\r\n\r\n", 0, "x",
+		  "/a?b", 0 },
+		{ "GET HTTPS://x HTTP/1.1\r\nHost: h\r\n\r\n", 0, "x", "/", 0 },
+		{ "GET /a HTTP/1.1\r\nHost: h\r\nT: 0.5\r\n\r\n", 0, "h", "/a",
+		  500 },
+		{ "GET /a HTTP/1.1\r\nHost: h\r\nT: 0\r\n\r\n", 0, "h", "/a",
+		  1 },
+		{ "GET /a HTTP/9.9\r\nHost: h\r\n\r\n", 505, "", "", 0 },
+		{ "GET /a HTTP/1.1\r\n\r\n", 400, "", "", 0 },
+		{ "GET /a HTTP/1.1\r\nHost: h\r\nhost: h\r\n\r\n", 400, "", "",
+		  0 },
+		{ "GET /a HTTP/1.1\r\nHost: h\r\nT: 5\r\nT: 5\r\n\r\n", 400, "",
+		  "", 0 },
+		{ "GET /a HTTP/1.1\r\nHost: h\r\nT: 0x10\r\n\r\n", 400, "", "",
+		  0 },
+		{ "GET /a HTTP/1.1\r\nHost: h\r\nT: 1e3\r\n\r\n", 400, "", "",
+		  0 },
+		{ "GET /a HTTP/1.1\r\nHost: h\r\nT: +5\r\n\r\n", 400, "", "",
+		  0 },
+		{ "GET /a HTTP/1.1\r\nHost: h\r\nT: 1.2.3\r\n\r\n", 400, "", "",
+		  0 },
+		{ "GET /a HTTP/1.1\r\nHost: h\r\nT: 3600001\r\n\r\n", 400, "",
+		  "", 0 },
+		{ "GET /a HTTP/1.1\r\nHost: h\r\nT:\r\n\r\n", 400, "", "", 0 },
+	};
+	request_head_t h;
+	http_msg_t m;
+	size_t i;
+	bool ok;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct evbuffer *in = evbuffer_new();
+
+		http_msg_init(&m, HTTP_REQUEST);
+		evbuffer_add(in, cases[i].bytes, strlen(cases[i].bytes));
+		CU_ASSERT(http_msg_feed(&m, in));
+		ok = request_head_read(&m, "T", &h);
+		if (ok != (cases[i].status == 0))
+			printf("\n  request %zu: status %u\n", i, h.status);
+		CU_ASSERT_EQUAL(ok, cases[i].status == 0);
+		CU_ASSERT_EQUAL(h.status, cases[i].status);
+		if (ok) {
+			CU_ASSERT(str_eq(h.host, str_of(cases[i].host)));
+			CU_ASSERT(str_eq(h.path, str_of(cases[i].path)));
+			CU_ASSERT_EQUAL(h.time_left, cases[i].time_left);
+		}
+		http_msg_clear(&m);
+		evbuffer_free(in);
+	}
+}
+
+/* Guards against chunk extensions without end, which no limit of the body
+ * counts, and against small chunks that are refused. */
+static void test_chunk_extensions(void)
+{
+	static const struct {
+		size_t extension; /* bytes, in each chunk of one byte */
+		size_t chunks;
+		bool accepted;
+	} cases[] = {
+		{ 0, 10000, true },
+		{ 1000, 10, true },
+		{ 100000, 1, false },
+		{ 1000, 100, false },
+	};
+	size_t i, k;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct evbuffer *in = evbuffer_new();
+		char *extension = g_strnfill(cases[i].extension, 'x');
+		http_msg_t m;
+
+		http_msg_init(&m, HTTP_REQUEST);
+		m.header_limit = 16384;
+		evbuffer_add_printf(in, "POST / HTTP/1.1\r\nHost: h\r\n"
+					"Transfer-Encoding: chunked\r\n\r\n");
+		for (k = 0; k < cases[i].chunks; k++)
+			evbuffer_add_printf(in, "1%s%s\r\nx\r\n",
+					    cases[i].extension ? ";" : "",
+					    extension);
+		evbuffer_add_printf(in, "0\r\n\r\n");
+		CU_ASSERT_EQUAL(http_msg_feed(&m, in), cases[i].accepted);
+		http_msg_clear(&m);
+		g_free(extension);
+		evbuffer_free(in);
+	}
+}
+
 /* Which lines of a message are forwarded. */
 static void test_hop_by_hop(void)
 {
@@ -828,6 +934,8 @@
 		{ "HTTP requests", test_http },
 		{ "HTTP request byte by byte", test_http_byte_by_byte },
 		{ "HTTP response ended by close", test_http_eof },
+		{ "heads of requests", test_request_heads },
+		{ "chunk extensions", test_chunk_extensions },
 		{ "hop-by-hop header lines", test_hop_by_hop },
 		{ "many header lines", test_many_lines },
 		{ "server entries, platform", test_platform_entries },
