--- a/tests/unit_outside.c
+++ b/tests/unit_outside.c
@@ -712,7 +712,7 @@
 			  .items = &item,
 			  .nitems = 1 };
 	size_t sz, raw_sz, i;
-	arena_t mem = { 0 };
+	arena_t mem = { 0 }, decoded = { 0 };
 	fleet_msg_t got;
 	char *bytes;
 
@@ -731,6 +731,7 @@
 			{ m.packed, raw_sz - 1, false },
 			{ m.packed, raw_sz + 1, false },
 			{ m.packed, 0, false },
+			{ m.packed, FLEET_MAX_ITEMS_BYTES, false },
 			{ m.packed, FLEET_MAX_ITEMS_BYTES + 1, false },
 			{ m.packed, m.packed.sz * 300, false },
 			{ { m.packed.s, m.packed.sz - 1 }, raw_sz, false },
@@ -742,11 +743,14 @@
 			m.packed = cases[i].packed;
 			m.packed_raw_sz = cases[i].raw_sz;
 			bytes = fleet_encode(&m, &sz);
-			CU_ASSERT_EQUAL(fleet_decode(bytes, sz, &got, &mem),
+			CU_ASSERT_EQUAL(fleet_decode(bytes, sz, &got, &decoded),
 					cases[i].valid);
 			if (cases[i].valid)
 				CU_ASSERT(
 					str_eq(got.items[0].value, item.value));
+			/* Memory for items that fit into the bytes. */
+			CU_ASSERT(decoded.used < 1000 * sz);
+			arena_free(&decoded);
 			free(bytes);
 		}
 	}
