--- a/daemon/edge_request.c
+++ b/daemon/edge_request.c
@@ -4,7 +4,6 @@
  * that the caller waits. What another server could read differently is refused:
  * a second Host line, a second time limit, another version (RFC 9112).
  */
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -40,20 +39,21 @@
 	return v;
 }
 
-/* Whole or decimal milliseconds; below 0 if the text is something else. */
+/* Whole or decimal milliseconds, with any number of leading zeros; below 0 if
+ * the text is something else. */
 static double parse_ms(str_t v)
 {
-	char text[32], *end;
-	double ms;
-
-	if (v.sz == 0 || v.sz >= sizeof(text) || v.s[0] < '0' || v.s[0] > '9')
-		return -1;
-	str_copy(text, sizeof(text), v);
 	/* strtod() takes hexadecimal numbers and exponents, too. */
-	if (strspn(text, "0123456789.") != v.sz)
-		return -1;
-	ms = strtod(text, &end);
-	return *end || ms > MAX_TIME_LEFT_MS ? -1 : ms;
+	str_t text = str_dup(v);
+	bool valid = v.sz && v.s[0] >= '0' && v.s[0] <= '9' &&
+		     strspn(text.s, "0123456789.") == v.sz;
+	char *end = NULL;
+	double ms = valid ? strtod(text.s, &end) : -1;
+
+	if (valid && *end)
+		ms = -1;
+	str_free(text);
+	return ms > MAX_TIME_LEFT_MS ? -1 : ms;
 }
 
 /* Host and path of a target in absolute form, "http://HOST/PATH"; the Host line
