--- a/review/common-2/stand.c
+++ b/review/common-2/stand.c
@@ -5,7 +5,7 @@
  * text file. Commands on the standard input change what is published.
  *
  *   stand serve NAMES STORE_PORT RECORD   commands: see on_command()
- *   stand call NAMES RECORD PORT FILE COUNT GAP_MS RATE BUFFER LIMIT_MS [PAUSE]
+ *   stand call NAMES RECORD PORT FILE COUNT GAP_MS RATE BUFFER LIMIT_MS [KEPT]
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -481,11 +481,12 @@
 	size_t head_sz;
 	unsigned status;
 	int done;
+	int first; /* of two requests on the connection; read at once */
 } call_t;
 
 static unsigned call_port, ncalls, nopen, nincomplete;
-static double rate, limit_ms, pause_ms;
-static int buffer;
+static double rate, limit_ms;
+static int buffer, kept;
 static char *request_text;
 
 static void call_end(call_t *c, const char *why)
@@ -528,12 +529,27 @@
 	c->expected = strtoul(text, NULL, 10);
 }
 
+static char *make_request(unsigned number, const char *prefix);
+
+/* After the whole answer to the first request of a kept connection. */
+static void send_second(call_t *c)
+{
+	free(c->request);
+	c->request = make_request(c->number, "r");
+	c->begun = c->last_read = now_ms();
+	c->ends = c->begun + limit_ms;
+	c->first = 0;
+	c->sent = c->got = c->expected = c->head_sz = 0;
+	c->status = 0;
+	note("caller r%u: sends", c->number);
+}
+
 /* Sends what is left of the request, then reads as much as the rate allows. */
 static void on_call(evutil_socket_t fd, short what, void *arg)
 {
 	struct timeval tv = { 0, 20000 };
 	call_t *c = arg;
-	double now = now_ms(), from = c->begun + pause_ms;
+	double now = now_ms();
 	size_t may, left = strlen(c->request) - c->sent;
 	static char bytes[1 << 20];
 	ssize_t n = 0;
@@ -548,23 +564,23 @@
 		call_end(c, "time limit");
 		return;
 	}
-	if (now >= from) {
-		may = (size_t)(rate * (now - c->last_read) / 1e3);
-		may = may < sizeof(bytes) ? may : sizeof(bytes);
-		c->last_read = now;
-		n = may ? recv(c->fd, bytes, may, MSG_DONTWAIT) : -2;
-		if (n > 0)
-			take_head(c, bytes, (size_t)n);
-		if (n == 0) {
-			call_end(c, "closed early");
-			return;
-		}
-		if (n == -1 && errno != EAGAIN && errno != ENOTCONN &&
-		    errno != EINPROGRESS) {
-			call_end(c, strerror(errno));
-			return;
-		}
+	may = (size_t)(rate * (now - c->last_read) / 1e3);
+	may = may < sizeof(bytes) && !c->first ? may : sizeof(bytes);
+	c->last_read = now;
+	n = may ? recv(c->fd, bytes, may, MSG_DONTWAIT) : -2;
+	if (n > 0)
+		take_head(c, bytes, (size_t)n);
+	if (n == 0) {
+		call_end(c, "closed early");
+		return;
 	}
+	if (n == -1 && errno != EAGAIN && errno != ENOTCONN &&
+	    errno != EINPROGRESS) {
+		call_end(c, strerror(errno));
+		return;
+	}
+	if (c->first && c->status && c->got >= c->expected)
+		send_second(c);
 	if (c->status && c->got >= c->expected)
 		call_end(c, "");
 	else
@@ -591,7 +607,7 @@
 	event_free(c->event);
 	c->event = evtimer_new(base, on_call, c);
 	evtimer_add(c->event, &tv);
-	note("caller r%u: sends", c->number);
+	note("caller r%u: %s", c->number, kept ? "begins" : "sends");
 }
 
 static void on_all_done(evutil_socket_t fd, short what, void *arg)
@@ -605,16 +621,16 @@
 
 /* Makes the request of a caller: each '@' of the file becomes its number, each
  * line end of it one of the protocol. */
-static char *make_request(unsigned number)
+static char *make_request(unsigned number, const char *prefix)
 {
-	char *to = calloc(1, strlen(request_text) * 3 + 64), *at = to;
+	char *to = calloc(1, strlen(request_text) * 3 + 256), *at = to;
 	const char *p;
 
 	if (!to)
 		exit(2);
 	for (p = request_text; *p; p++)
 		if (*p == '@')
-			at += sprintf(at, "r%u", number);
+			at += sprintf(at, "%s%u", prefix, number);
 		else if (*p == '\n')
 			at += sprintf(at, "\r\n");
 		else
@@ -640,7 +656,7 @@
 	rate = atof(v[4]);
 	buffer = atoi(v[5]);
 	limit_ms = atof(v[6]);
-	pause_ms = n > 7 ? atof(v[7]) : 0;
+	kept = n > 7 && atoi(v[7]);
 	for (i = 0; i < ncalls; i++) {
 		call_t *c = calloc(1, sizeof(*c));
 		struct timeval tv = { gap * i / 1000,
@@ -649,7 +665,8 @@
 		if (!c)
 			return 2;
 		c->number = i;
-		c->request = make_request(i);
+		c->first = kept;
+		c->request = make_request(i, kept ? "first" : "r");
 		c->event = evtimer_new(base, call_start, c);
 		evtimer_add(c->event, &tv);
 	}
