--- a/review/common-2/stand.c
+++ b/review/common-2/stand.c
@@ -5,7 +5,8 @@
  * text file. Commands on the standard input change what is published.
  *
  *   stand serve NAMES STORE_PORT RECORD   commands: see on_command()
- *   stand call NAMES RECORD PORT FILE COUNT GAP_MS RATE BUFFER LIMIT_MS [KEPT]
+ *   stand call NAMES RECORD PORT FILE COUNT GAP_MS RATE BUFFER LIMIT_MS
+ *       [HOLD_MS [SECOND_FILE]]
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -29,7 +30,7 @@
 #define MAX_ITEMS 512
 #define MAX_SERVERS 64
 #define MAX_HEAD 16384
-#define LINE_BYTES 65536
+#define REQUEST_BYTES 524288
 #define PACKET_BYTES 1460 /* of a link of 1,500 bytes */
 
 /* A published item; value NULL: deleted. */
@@ -476,6 +477,7 @@
 	struct event *event;
 	char *request;
 	double begun, ends, last_read;
+	double held_until; /* between the two requests; 0: not */
 	size_t sent, got, expected;
 	char head[MAX_HEAD];
 	size_t head_sz;
@@ -486,8 +488,8 @@
 
 static unsigned call_port, ncalls, nopen, nincomplete;
 static double rate, limit_ms;
-static int buffer, kept;
-static char *request_text;
+static int buffer, hold_ms;
+static char *request_text, *second_text;
 
 static void call_end(call_t *c, const char *why)
 {
@@ -529,16 +531,17 @@
 	c->expected = strtoul(text, NULL, 10);
 }
 
-static char *make_request(unsigned number, const char *prefix);
+static char *make_request(const char *text, unsigned number,
+			  const char *prefix);
 
 /* After the whole answer to the first request of a kept connection. */
 static void send_second(call_t *c)
 {
 	free(c->request);
-	c->request = make_request(c->number, "r");
+	c->request = make_request(second_text, c->number, "r");
 	c->begun = c->last_read = now_ms();
 	c->ends = c->begun + limit_ms;
-	c->first = 0;
+	c->held_until = 0;
 	c->sent = c->got = c->expected = c->head_sz = 0;
 	c->status = 0;
 	note("caller r%u: sends", c->number);
@@ -556,6 +559,14 @@
 
 	(void)fd;
 	(void)what;
+	if (now < c->held_until) {
+		evtimer_add(c->event, &tv);
+		return;
+	}
+	if (c->held_until > 0) {
+		send_second(c);
+		left = strlen(c->request);
+	}
 	if (left) {
 		n = send(c->fd, c->request + c->sent, left, MSG_NOSIGNAL);
 		c->sent += n > 0 ? (size_t)n : 0;
@@ -579,8 +590,12 @@
 		call_end(c, strerror(errno));
 		return;
 	}
-	if (c->first && c->status && c->got >= c->expected)
-		send_second(c);
+	if (c->first && c->status && c->got >= c->expected) {
+		c->held_until = now + hold_ms;
+		c->first = 0;
+		evtimer_add(c->event, &tv);
+		return;
+	}
 	if (c->status && c->got >= c->expected)
 		call_end(c, "");
 	else
@@ -607,7 +622,7 @@
 	event_free(c->event);
 	c->event = evtimer_new(base, on_call, c);
 	evtimer_add(c->event, &tv);
-	note("caller r%u: %s", c->number, kept ? "begins" : "sends");
+	note("caller r%u: %s", c->number, c->first ? "begins" : "sends");
 }
 
 static void on_all_done(evutil_socket_t fd, short what, void *arg)
@@ -621,14 +636,14 @@
 
 /* Makes the request of a caller: each '@' of the file becomes its number, each
  * line end of it one of the protocol. */
-static char *make_request(unsigned number, const char *prefix)
+static char *make_request(const char *text, unsigned number, const char *prefix)
 {
-	char *to = calloc(1, strlen(request_text) * 3 + 256), *at = to;
+	char *to = calloc(1, strlen(text) * 3 + 256), *at = to;
 	const char *p;
 
 	if (!to)
 		exit(2);
-	for (p = request_text; *p; p++)
+	for (p = text; *p; p++)
 		if (*p == '@')
 			at += sprintf(at, "%s%u", prefix, number);
 		else if (*p == '\n')
@@ -638,25 +653,33 @@
 	return to;
 }
 
+/* The text of a file; it stays allocated. */
+static char *read_text(const char *path)
+{
+	char *text = calloc(1, REQUEST_BYTES);
+	FILE *f = fopen(path, "r");
+
+	if (!f || !text)
+		exit(2);
+	text[fread(text, 1, REQUEST_BYTES - 1, f)] = 0;
+	fclose(f);
+	return text;
+}
+
 static int call(char **v, int n)
 {
 	struct timeval poll = { 0, 100000 };
 	struct event *done = event_new(base, -1, EV_PERSIST, on_all_done, NULL);
 	unsigned gap = (unsigned)atoi(v[3]), i;
-	FILE *f = fopen(v[1], "r");
-	static char text[LINE_BYTES];
 
-	if (!f)
-		return 2;
-	text[fread(text, 1, sizeof(text) - 1, f)] = 0;
-	fclose(f);
-	request_text = text;
+	request_text = read_text(v[1]);
+	second_text = n > 8 ? read_text(v[8]) : request_text;
 	call_port = (unsigned)atoi(v[0]);
 	ncalls = nopen = (unsigned)atoi(v[2]);
 	rate = atof(v[4]);
 	buffer = atoi(v[5]);
 	limit_ms = atof(v[6]);
-	kept = n > 7 && atoi(v[7]);
+	hold_ms = n > 7 ? atoi(v[7]) : 0;
 	for (i = 0; i < ncalls; i++) {
 		call_t *c = calloc(1, sizeof(*c));
 		struct timeval tv = { gap * i / 1000,
@@ -665,8 +688,9 @@
 		if (!c)
 			return 2;
 		c->number = i;
-		c->first = kept;
-		c->request = make_request(i, kept ? "first" : "r");
+		c->first = hold_ms > 0;
+		c->request =
+			make_request(request_text, i, c->first ? "first" : "r");
 		c->event = evtimer_new(base, call_start, c);
 		evtimer_add(c->event, &tv);
 	}
