--- a/review/common-2/stand.c
+++ b/review/common-2/stand.c
@@ -71,7 +71,6 @@
 static unsigned nservers;
 static conn_t *conns;
 static FILE *record;
-static double started;
 
 static double now_ms(void)
 {
@@ -83,9 +82,12 @@
 
 __attribute__((format(printf, 1, 2))) static void note(const char *fmt, ...)
 {
+	struct timespec t;
 	va_list ap;
 
-	fprintf(record, "%.0f ", now_ms() - started);
+	clock_gettime(CLOCK_REALTIME, &t);
+	fprintf(record, "%lld.%03ld ", (long long)t.tv_sec,
+		t.tv_nsec / 1000000);
 	va_start(ap, fmt);
 	vfprintf(record, fmt, ap);
 	va_end(ap);
@@ -707,7 +709,6 @@
 		return 2;
 	base = event_base_new();
 	read_names(argv[2]);
-	started = now_ms();
 	if (strcmp(argv[1], "serve") == 0) {
 		record = fopen(argv[4], "a");
 		return record ? serve((unsigned)atoi(argv[3])) : 2;
